Watch discovery unasked where the settings call it automatic

The log says nothing between the start and SIGHUP.

Evidence: watched from outside, the balancer holds connections to the nine upstreams of its configuration and to clients, and never one to discovery; no connection to 127.8.200.1 appears in its socket calls. The module asks for the list only where it says "subscribe" (Settings::ask_for_fleet), which is right by the wire: there changes are delivered unprompted. On sockets nobody delivers them. Driver::start played the list known before the start and left it at that, so a balancer lived on that list until it ended, and SIGHUP, which only moves a watch, moved none.

Ruled out: the module's own heed of a drain (choose_subset, next_turn and fits all look at `ready`, and the tests that drive it with `subscribe` keep the rule); the reading of lines (never reached).

The driver now begins the watch at the start where the module does not ask, and begins it anew from the list in hand 250 ms after it has ended; failures are told only to a module that asks, as on the wire.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -200,15 +200,14 @@
         }
     }
 
-    /// Watches the list until the watch ends, and tells what comes; the last word is that it has failed.
-    pub async fn watch(&self, mut tell: impl FnMut(News)) {
-        if let Err(e) = self.follow(&mut tell).await {
+    /// Watches the list until the watch ends, and tells what comes.
+    pub async fn watch(&self, tell: impl FnMut(News)) {
+        if let Err(e) = self.follow(tell).await {
             self.odd.warn(|| format!("watch ended: {e}"));
         }
-        tell(News::failed());
     }
 
-    async fn follow(&self, tell: &mut impl FnMut(News)) -> Result<(), Failure> {
+    async fn follow(&self, mut tell: impl FnMut(News)) -> Result<(), Failure> {
         let target = format!("/registry/instances?stream=1&index={}", self.rev.get());
         let (_connection, mut body) = timeout(SILENCE_MOST, self.ask(&target)).await??;
         let (mut pending, mut last_line) = (BytesMut::new(), Instant::now());
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -20,6 +20,9 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep};
 
+/// Pause before a watch that has ended is begun anew unprompted. Short, as what discovery has to tell counts as
+/// told soon, whether it arrived or not; the call costs discovery nothing.
+const WATCH_PAUSE: Duration = Duration::from_millis(250);
 /// How far the module's clock has gone at the start: upstreams may have started before this balancer.
 const BEFORE_START: Duration = Duration::from_secs(3600);
 
@@ -108,13 +111,22 @@
     playing: Cell<bool>,
     upstreams: Upstreams,
     discovery: Discovery,
+    /// Whether the module asks for the list; else its changes reach it unprompted, and the watch that brings
+    /// them is this driver's affair.
+    asks: bool,
     /// Set when what is held has to end.
     cut_off: watch::Sender<bool>,
 }
 
 impl Driver {
-    /// A driver with the list of upstreams known before the start.
-    pub fn start(balancer: Balancer, upstreams: Upstreams, discovery: Discovery, known: News) -> Rc<Self> {
+    /// A driver with the list of upstreams known before the start; `asks`: whether the module asks for more.
+    pub fn start(
+        balancer: Balancer,
+        upstreams: Upstreams,
+        discovery: Discovery,
+        known: News,
+        asks: bool,
+    ) -> Rc<Self> {
         let start_unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let core = Core { balancer, requests: FxHashMap::default(), actions: Vec::new(), next_id: 0 };
         let driver = Rc::new(Self {
@@ -124,11 +136,15 @@
             playing: Cell::new(false),
             upstreams,
             discovery,
+            asks,
             cut_off: watch::Sender::new(false),
         });
         let sweeper = Rc::clone(&driver);
         spawn_local(async move { sweeper.upstreams.sweep().await });
         driver.happened(Happening::Fleet(known));
+        if !asks {
+            driver.watch();
+        }
         driver
     }
 
@@ -305,13 +321,20 @@
     fn watch(self: &Rc<Self>) {
         let driver = Rc::clone(self);
         let watch = spawn_local(async move {
-            driver.discovery.watch(|news| driver.happened(Happening::Fleet(news))).await;
+            loop {
+                driver.discovery.watch(|news| driver.happened(Happening::Fleet(news))).await;
+                if driver.asks {
+                    // The module asks again when it sees fit.
+                    return driver.happened(Happening::Fleet(News::failed()));
+                }
+                sleep(WATCH_PAUSE).await;
+            }
         });
         self.discovery.watched_by(watch.abort_handle());
     }
 
-    /// Discovery has moved. What the module asked for, or will ask for once a failed call is far enough back,
-    /// is asked of the new address at once: what it has to tell may not wait.
+    /// Discovery has moved. What is watched, or will be once a failed call is far enough back, is asked of the
+    /// new address at once: what it has to tell may not wait.
     pub fn discovery_moved(self: &Rc<Self>, address: SocketAddr) {
         if self.discovery.move_to(address) {
             self.watch();
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -78,7 +78,7 @@
         limits = ?config.limits,
         "serving"
     );
-    let driver = Driver::start(balancer, upstreams, discovery, known);
+    let driver = Driver::start(balancer, upstreams, discovery, known, config.site.settings.ask_for_fleet);
     let (phase, phases) = watch::channel(Phase::Serving);
     let server = Server::new(driver.clone(), &config.site, phases);
     let mut accepting = spawn_local(server.run(listener, config.client_connections()));
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -183,6 +183,30 @@
     }
 }
 
+/// Guards against a list that grows old where the settings call discovery automatic: the watch is begun without
+/// the module, and begun anew from the list in hand when it ends.
+#[test]
+fn an_automatic_list_is_watched_from_the_start() {
+    let leaving = Upstream::start(Then::Answer(OK));
+    let (discovery, calls) = discovery();
+    let mut setup = Setup::with(&[leaving.address]);
+    setup.discovery = discovery;
+    let node = setup.start();
+    let mut client = node.connect();
+    assert_eq!(client.exchange(&book(5000, "x")).status(), 200);
+    let (target, watch) = calls.recv_timeout(LONG).expect("a watch");
+    assert!(target.contains("stream=1") && target.contains("index=1"), "{target}");
+    tell(&watch, &list(2, false, &[]));
+    // Its end comes behind the line: what was told is not lost with it.
+    watch.shutdown(std::net::Shutdown::Write).unwrap();
+    let (target, watch) = calls.recv_timeout(LONG).expect("another watch");
+    assert!(target.contains("stream=1") && target.contains("index=2"), "{target}");
+    tell(&watch, &list(3, false, &[entry("s-0", leaving.address, "Terminating")]));
+    until("its idle connection is closed", || leaving.ended() == 1);
+    assert_eq!(client.exchange(&book(5000, "x")).status(), 503);
+    assert_eq!(leaving.seen().len(), 1);
+}
+
 /// Guards against an upstream being taken for its address: one that has moved is followed.
 #[test]
 fn an_upstream_that_moves_is_followed() {
