Wait past the aim for an upstream that answers, call back from a silent one

Refusals: two causes. It was meant for upstreams that drop what is called back. Where they go on, their cores are spent for nobody, a read's client asks again, and W, which learns of latency and of cores from answers, counts room that is taken.

Now an attempt past its aim is waited for while its upstream answers anything, and called back if that has been silent for as long as answers usually take; where nothing may be called back the time-out stays.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -481,10 +481,10 @@
         u.in_flight += 1;
         let class = &self.set.classes[r.class];
         let overdue = self.classes[r.class].usual.min(OVERDUE_BY * class.aim.as_secs_f64());
-        // What is worth nothing after its aim is not waited for any longer: upstreams that drop what is
-        // called back have room for others, and silence is known sooner. It ends just before, not as late.
+        // What is worth nothing after its aim may be called back then, see `overdue`; where that is not
+        // allowed it is not waited for any longer.
         let spent = Duration::from_secs_f64((r.worth_until - self.at).clamp(1e-3, 1e6));
-        let timeout = (r.worth_until < r.deadline).then_some(spent);
+        let timeout = (!self.set.cancelling && r.worth_until < r.deadline).then_some(spent);
         self.out.push(Action::Attempt { id, upstream: u.id, timeout });
         self.due.insert((self.now + Duration::from_secs_f64(overdue), id, r.attempts.len() as u8));
         let (upstream, zone, cell, sent) = (u.id, u.zone, u.cell, self.at);
@@ -545,22 +545,35 @@
     }
 
     /// An attempt is out for longer than is usual: its upstream is passed over, and a second copy may go out.
+    /// It is looked at once more when its answer is worth nothing any longer.
     fn overdue(&mut self, id: RequestId, attempt: u8) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(a) = r.attempts.get_mut(usize::from(attempt)).filter(|a| a.out) else { return };
-        a.overdue = true;
+        let spent = std::mem::replace(&mut a.overdue, true);
+        let class = &self.set.classes[r.class];
+        let usual = self.classes[r.class].usual.min(OVERDUE_BY * class.aim.as_secs_f64());
         let mut silent = true;
         if let Some(&j) = self.index.get(&a.upstream) {
-            self.ring[j].overdue += 1;
-            silent = self.ring[j].alive_at <= a.sent;
+            let u = &mut self.ring[j];
+            u.overdue += u32::from(!spent);
+            silent = u.alive_at <= a.sent.max(self.at - usual);
         }
-        // Where no second copy may run beside the first, what may be repeated is called back from an upstream
-        // that has answered nothing since. From one that has, its work would be done twice for one answer.
-        let class = &self.set.classes[r.class];
+        // It is called back only from an upstream that has answered nothing for so long: from one that has,
+        // the work would be done for nobody, or twice for one answer.
         let last = r.attempts.len() >= usize::from(self.set.max_attempts);
-        let repeatable = class.effect != Effect::AtMostOnce && !class.streamed;
-        if !self.set.hedging && self.set.cancelling && silent && repeatable && !last && self.retries >= 1.0 {
+        let again = !self.set.hedging
+            && !last
+            && class.effect != Effect::AtMostOnce
+            && !class.streamed
+            && self.retries >= 1.0;
+        if self.set.cancelling && silent && (spent || again) {
             self.out.push(Action::Cancel { id, attempt: AttemptNo(attempt) });
+        } else if !spent && r.worth_until < r.deadline {
+            let left = Duration::from_secs_f64((r.worth_until - self.at).max(0.0));
+            self.due.insert((self.now + left, id, attempt));
+        }
+        if spent {
+            return;
         }
         // Room for one: the overdue attempt itself is counted in what is held.
         if self.set.hedging && self.room > -1.0 {
