Keep clients' connections while leaving, until another balancer is taken in

The first, gone since 13.6 s, serves again at 16.1 s; the second gets SIGTERM at 16.0 s. From then on every answer of the second says `Connection: close`, so its clients come back on new connections, 237 of them in 0.35 s where the 3 s before saw 25. At 16.35 s the front deals it no more; the first one gets its first connection at 16.7 s. In between nobody accepts, and the 0.3 s hold about as many requests as failed (172).

Ruled out: a slow start (ready within 0.1 s), lost answers at the end (none; it ended by itself at 16.70 s).

`Server::respond` closed each connection from SIGTERM on. A client keeps what stays open, so the leaving balancer is the only one that can serve it there. Now connections go on while it leaves, health says that it is not ready, and they end between requests when it closes: 0.7 of the longest deadline after SIGTERM, 0.6 to 1.2 s. What comes last still has its time before SIGKILL; the cut-off before that stands as it was.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -30,8 +30,12 @@
 use tracing::level_filters::LevelFilter;
 use upstream::Upstreams;
 
-/// After SIGTERM the front goes on dealing out new connections for 0.4 s at most.
-const ACCEPT_AFTER_TERM: Duration = Duration::from_millis(600);
+/// After SIGTERM the front goes on dealing out new connections for 0.4 s at most, and clients go on using those
+/// that they have. They may until this balancer's neighbour, perhaps just started itself, has been taken in ...
+const LEAVE_LEAST: Duration = Duration::from_millis(600);
+const LEAVE_MOST: Duration = Duration::from_millis(1200);
+/// ... but no longer than this share of the longest deadline: what comes last must still have time.
+const LEAVE_SHARE: f64 = 0.7;
 /// SIGKILL may come when the longest deadline, 3 s at most, and 0.7 s more have passed; this is a bit before.
 const KILL_DEADLINE_MOST: Duration = Duration::from_secs(3);
 const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(600);
@@ -87,11 +91,12 @@
     term.recv().await;
     tracing::info!("leaving");
     phase.send_replace(Phase::Leaving);
-    sleep(ACCEPT_AFTER_TERM).await;
-    phase.send_replace(Phase::Closing);
     let deadlines = config.site.settings.classes.iter().map(|class| class.deadline);
     let longest = deadlines.max().unwrap_or_default().min(KILL_DEADLINE_MOST);
-    let rest = (longest + KILL_AFTER_DEADLINE).saturating_sub(ACCEPT_AFTER_TERM + LAST_WORDS);
+    let leave = longest.mul_f64(LEAVE_SHARE).clamp(LEAVE_LEAST, LEAVE_MOST);
+    sleep(leave).await;
+    phase.send_replace(Phase::Closing);
+    let rest = (longest + KILL_AFTER_DEADLINE).saturating_sub(leave + LAST_WORDS);
     if timeout(rest, &mut accepting).await.is_err() {
         driver.cut_off();
         let _ = timeout(LAST_WORDS, &mut accepting).await;
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use hyper::header::RETRY_AFTER;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -39,7 +39,8 @@
 pub enum Phase {
     /// Not at all.
     Serving,
-    /// Not ready any more; connections end with their next answer.
+    /// Not ready any more. All else goes on for a moment: clients that keep their connections need no other
+    /// balancer yet, and the one that is to take them may only just have started itself.
     Leaving,
     /// Nothing new is accepted; connections end between requests.
     Closing,
@@ -155,12 +156,12 @@
     }
 
     async fn respond(&self, client: &Client, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let leaving = || *self.phase.borrow() != Phase::Serving;
         let whole_by = client.reads();
-        let mut response = match request.uri().path() {
+        let response = match request.uri().path() {
             "/health/ready" | "/health/live" if request.body().is_end_stream() => {
                 client.holds();
-                if leaving() && request.uri().path() == "/health/ready" {
+                let leaving = *self.phase.borrow() != Phase::Serving;
+                if leaving && request.uri().path() == "/health/ready" {
                     plain(StatusCode::SERVICE_UNAVAILABLE, "leaving")
                 } else {
                     plain(StatusCode::OK, "ok")
@@ -172,9 +173,6 @@
             },
         };
         client.answered();
-        if leaving() {
-            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-        }
         response
     }
 
@@ -246,7 +244,39 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::discovery::{Discovery, News};
+    use crate::upstream::Upstreams;
+    use lapisroute::Balancer;
     use std::pin::pin;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    /// Guards the clients of a balancer that leaves: a connection in use goes on until this one is closing, as
+    /// there may be no other balancer ready as yet, and ends between requests then.
+    #[tokio::test(flavor = "local")]
+    async fn connections_outlast_the_leave_and_end_with_the_close() {
+        let site = lapisroute_settings::parse(r#"{"classes":[{"name":"look"}]}"#).unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let upstreams = Upstreams::new(&site.settings, 8, 0);
+        let discovery = Discovery::new(address, site.names.clone());
+        let balancer = Balancer::new(site.settings.clone(), 7).unwrap();
+        let driver = Driver::start(balancer, upstreams, discovery, News::failed(), true);
+        let (phase, phases) = watch::channel(Phase::Leaving);
+        let serving = spawn_local(Server::new(driver, &site, phases).run(listener, 8));
+        let mut client = TcpStream::connect(address).await.unwrap();
+        for (path, status) in [("ready", "503"), ("live", "200"), ("ready", "503")] {
+            let request = format!("GET /health/{path} HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+            client.write_all(request.as_bytes()).await.unwrap();
+            let mut answer = [0; 1024];
+            let n = client.read(&mut answer).await.unwrap();
+            let answer = String::from_utf8_lossy(&answer[..n]).to_lowercase();
+            assert!(answer.starts_with(&format!("http/1.1 {status}")), "{answer:?}");
+            assert!(!answer.contains("connection: close"), "{answer:?}");
+        }
+        phase.send_replace(Phase::Closing);
+        assert_eq!(client.read(&mut [0; 1]).await.unwrap(), 0, "it ends between requests");
+        serving.await.unwrap();
+    }
 
     /// Guards an answer on its way to a client who reads slowly: the end of its connection waits for it.
     #[tokio::test(flavor = "local")]
