Let spare room keep the upstreams' cores busy to 0.8

Where reports tell how busy the cores are, W's rate is what was served, times BUSY over what they tell. At 0.62 W shrinks from there on, whatever the latencies.

Ruled out: latency as the bound (`within` stays under it), the guarantees (refused were those over theirs first, as designed), readiness (all upstreams took turns).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,8 +28,9 @@
 const RATE_OVER: f64 = 2.0;
 const RATE_KEPT: f64 = 30.0;
 /// Share of the upstreams' cores that spare room may keep busy where reports tell, and what is added for
-/// demand over the shares, by its worth: where it is worth little, so is the risk.
-const BUSY: f64 = 0.62;
+/// demand over the shares, by its worth: where it is worth little, so is the risk. Below it queues are short
+/// against the aims; what is refused then is refused for nothing.
+const BUSY: f64 = 0.8;
 const BUSY_MORE: f64 = 0.4;
 /// Weight of the newest report in that share, and seconds for which it stands without a further one.
 const BUSY_NEWEST: f64 = 0.02;
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -139,3 +139,33 @@
     assert!(sent < 200, "{sent} of 400 sent into the jam");
     assert!(sent > 0, "some go on, to see whether it has passed");
 }
+
+/// Guards against refusals while the fleet has room: at cores busy to seven tenths and answers that come well
+/// within their aim, demand over the guarantees is admitted; at cores busy throughout it is not.
+#[test]
+fn demand_over_the_guarantees_is_admitted_until_the_cores_are_busy() {
+    let admitted = |utilization: f32| {
+        let mut set = settings(1, &[20.0]);
+        (set.reports, set.report_fields) = (Reports::Inline, vec![LoadField::Utilization]);
+        let mut bench = Bench::new(set, &fleet(4));
+        let (mut open, mut admitted) = (Vec::new(), 0);
+        for step in 0..10_000 {
+            let id = bench.request(0, 0, ms(1000));
+            if let Some(upstream) = bench.at(id, 0) {
+                admitted += usize::from(step >= 9000);
+                open.push((bench.now, id));
+                let (outcome, latency, report) = (Outcome::Ok, ms(1), &[utilization][..]);
+                bench.tell(Event::ProbeEnded { upstream, outcome, latency, report });
+            }
+            bench.run(ms(2));
+            while open.first().is_some_and(|(at, _)| bench.now >= *at + ms(60)) {
+                let id = open.remove(0).1;
+                (0..bench.sent[&id].len()).for_each(|k| bench.ended(id, k, Outcome::Ok));
+            }
+        }
+        admitted
+    };
+    let (some, all) = (admitted(0.72), admitted(0.99));
+    assert!(some > 600, "{some} of 1000 at seven tenths");
+    assert!(all < 450, "{all} of 1000 where no core is free");
+}
