Let a bucket hold no more than the longest aim's worth of its guarantee

Evidence: debug lines of the module's state, twice a second. At 9.35 s, the second upstream gone, W is -1.8 and 11 requests are held; at 9.84 s W is -17 with 27 held, at 10.36 s -51 with 59, at 10.86 s -58 with 69. No grant is given in that time, and yet the queue grows by 60 in a second. The guarantees add up to 280 a second against a demand of 145, so every bucket was full, and a full bucket holds a second of its guarantee: three aims of this site's busiest hours, two seconds of its demand, all admitted whatever W says. The mean latency goes from 70 to 260 ms, and by the time it has come down the next upstreams are being replaced.

Ruled out: an upstream that is in the ring and unused (one answers nearly all with 500 and is ejected for each class, rightly: 14 of its 15 trials and first attempts after 1.4 s are errors), cold upstreams, ready ones that the skip rule leaves empty.

A bucket now holds a second of its guarantee or the longest aim's worth, whichever is less.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,15 +28,16 @@
 const RATE_OVER: f64 = 2.0;
 const RATE_KEPT: f64 = 30.0;
 /// Share of the upstreams' cores that spare room may keep busy where reports tell, and what is added for
-/// demand over the shares, by its worth: where it is worth little, so is the risk. Below it queues are short
-/// against the aims; what is refused then is refused for nothing.
+/// demand over the shares, by its worth: where it is worth little, so is the risk. Below it queues are short.
 const BUSY: f64 = 0.8;
 const BUSY_MORE: f64 = 0.4;
 /// Weight of the newest report in that share, and seconds for which it stands without a further one.
 const BUSY_NEWEST: f64 = 0.02;
 const BUSY_KEPT: f64 = 3.0;
-/// Bucket size T_i: a second of the guarantee or this share of the tenant's demand, whichever is more, and
-/// this many tokens, so that a small tenant's chance pairs are not refused.
+/// Bucket size T_i: these seconds of the guarantee, but no more than the longest aim, as they are admitted
+/// even when room has just gone; or this share of the tenant's demand, whichever is more, and this many
+/// tokens, so that a small tenant's chance pairs are not refused.
+const BUCKET_OVER: f64 = 1.0;
 const BUCKET: f64 = 0.2;
 const BUCKET_LEAST: f64 = 3.0;
 /// Guarantees grow with the middle tenant's demand and this much more, up to so many equal parts.
@@ -146,6 +147,11 @@
     ask_failures: u32,
 }
 
+/// Seconds of a tenant's guarantee that its bucket holds.
+fn bucket_over(set: &Settings) -> f64 {
+    set.classes.iter().map(|c| c.aim.as_secs_f64()).fold(0.0, f64::max).min(BUCKET_OVER)
+}
+
 impl Balancer {
     /// A balancer with these settings; `seed` is its only source of chance.
     pub fn new(set: Settings, seed: u64) -> Result<Self, SettingsError> {
@@ -156,7 +162,7 @@
             let stated = set.tenants.get(i).map_or(0.0, |t| t.allowance_per_s);
             let guarantee = if stated > 0.0 { stated / f64::from(set.balancers) } else { 1.0 };
             Bucket {
-                tokens: BUCKET_LEAST + guarantee, // full
+                tokens: BUCKET_LEAST + guarantee * bucket_over(&set), // full
                 arrivals: 0.0,
                 demand: 0.0,
                 part: guarantee,
@@ -338,8 +344,9 @@
         // ... unless much is missing: then all surge, as with retries in a jam.
         let more = 1.0 + (more - 1.0) * (1.0 - missing).max(0.0);
         self.buckets.iter_mut().for_each(|b| b.guarantee = b.part * more);
+        let bucket_over = bucket_over(&self.set);
         for b in &mut self.buckets {
-            let size = BUCKET_LEAST + (BUCKET * b.demand).max(b.guarantee); // T_i
+            let size = BUCKET_LEAST + (BUCKET * b.demand).max(b.guarantee * bucket_over); // T_i
             let cut = if b.demand > b.guarantee { CUT.0 * missing } else { CUT.1 * (missing - CUT_FROM) };
             let share = if total > 0.0 { b.demand / total } else { 0.0 };
             // Only whole tokens count against a share of W under one request: else it stops short of one.
@@ -562,22 +569,16 @@
         // It is called back only from an upstream that has answered nothing for so long: from one that has,
         // the work would be done for nobody, or twice for one answer.
         let last = r.attempts.len() >= usize::from(self.set.max_attempts);
-        let again = !self.set.hedging
-            && !last
-            && class.effect != Effect::AtMostOnce
-            && !class.streamed
-            && self.retries >= 1.0;
+        let repeatable = class.effect != Effect::AtMostOnce && !class.streamed;
+        let again = !self.set.hedging && !last && repeatable && self.retries >= 1.0;
         if self.set.cancelling && silent && (spent || again) {
             self.out.push(Action::Cancel { id, attempt: AttemptNo(attempt) });
         } else if !spent && r.worth_until < r.deadline {
             let left = Duration::from_secs_f64((r.worth_until - self.at).max(0.0));
             self.due.insert((self.now + left, id, attempt));
         }
-        if spent {
-            return;
-        }
         // Room for one: the overdue attempt itself is counted in what is held.
-        if self.set.hedging && self.room > -1.0 {
+        if !spent && self.set.hedging && self.room > -1.0 {
             self.further(id, 1.0);
         }
     }
