Take the room of a long answer of unknown length while it comes

A long answer's bytes are held against a fifth of the memory, but one that does not state its length (chunked) was counted only once it had been read whole, up to 1 MiB each. As many could be in reading as there are connections to upstreams: 104 MiB at 256 descriptors and 32 MB of memory, at which the platform kills the process.

`exchange` now reads frame by frame and takes the room of the longest answer as soon as the body passes 64 KiB, gives back what it did not need at the end, and ends the attempt as spoilt where there is none, as before for those that state their length. The test holds one such answer half read beside a second; without the change the first takes no room.

--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -7,7 +7,7 @@
 use crate::headers::{self, LOAD, TIME_LEFT, UNPROCESSED};
 use crate::pool::Pool;
 use crate::seldom::Seldom;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Body;
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
@@ -360,6 +360,15 @@
     length: usize,
 }
 
+impl Taken {
+    /// Gives back what is over `length`.
+    fn shrink(&mut self, length: usize) {
+        let over = self.length.saturating_sub(length);
+        self.length -= over;
+        self.room.0.fetch_add(over, Ordering::Relaxed);
+    }
+}
+
 impl Drop for Taken {
     fn drop(&mut self) {
         self.room.0.fetch_add(self.length, Ordering::Relaxed);
@@ -389,15 +398,20 @@
     if stated > BODY_MOST as u64 {
         return Err(Broken::Spoilt(format!("{stated} bytes are too long").into()));
     }
-    let room = |length: usize| match length {
-        ..=BODY_SMALL => Ok(None),
-        _ => room.take(length).map(Some).ok_or_else(|| Broken::Spoilt("no room for a long answer".into())),
-    };
-    let mut taken = room(stated as usize)?;
-    let body = Limited::new(body, BODY_MOST).collect().await.map_err(broken_body)?.to_bytes();
-    if taken.is_none() {
-        // It did not say how long it was.
-        taken = room(body.len())?;
+    let take = |length| room.take(length).ok_or_else(|| Broken::Spoilt("no room for a long answer".into()));
+    let mut taken = (stated > BODY_SMALL as u64).then(|| take(stated as usize)).transpose()?;
+    let (mut body, mut whole) = (Limited::new(body, BODY_MOST), BytesMut::with_capacity(stated as usize));
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(broken_body)?.into_data() else { continue };
+        // One that does not say how long it is may come to the longest: the room is taken before it has.
+        if taken.is_none() && whole.len() + data.len() > BODY_SMALL {
+            taken = Some(take(BODY_MOST)?);
+        }
+        whole.extend_from_slice(&data);
+    }
+    let body = whole.freeze();
+    if let Some(taken) = &mut taken {
+        taken.shrink(body.len());
     }
     let body = match taken {
         Some(taken) => Bytes::from_owner(Long(body, taken)),
@@ -603,6 +617,41 @@
         }
     }
 
+    /// Guards memory against long answers that do not say how long they are: their room is taken while they come,
+    /// not only once they are here.
+    #[tokio::test(flavor = "local")]
+    async fn an_answer_of_unknown_length_takes_its_room_as_it_comes() {
+        let (upstreams, listener, _) = upstreams(8).await;
+        let _held = upstreams.long_answers.take(3 * BODY_MOST).expect("room for one is left");
+        let chunk = format!("{:x}\r\n{}\r\n", 2 * BODY_SMALL, "y".repeat(2 * BODY_SMALL));
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let first = Rc::clone(&upstreams);
+        let first = spawn_local(async move { first.attempt(ID, &outgoing(), Instant::now() + LONG).await });
+        let (mut slow, _) = listener.accept().await.unwrap();
+        assert!(slow.read(&mut [0; 1024]).await.unwrap() > 0);
+        slow.write_all(format!("{head}{chunk}").as_bytes()).await.unwrap();
+        let taken = async {
+            while upstreams.long_answers.take(1).is_some() {
+                tokio::task::yield_now().await;
+            }
+        };
+        timeout_at(Instant::now() + LONG, taken).await.expect("its room is taken");
+        let answer = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+            // It is cut off where there is no room.
+            let _ = stream.write_all(format!("{head}{chunk}0\r\n\r\n").as_bytes()).await;
+        };
+        let request = outgoing();
+        let (second, ()) = tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), answer);
+        assert_eq!(second.outcome, Outcome::Error, "no room beside the first");
+        slow.write_all(b"0\r\n\r\n").await.unwrap();
+        let served = first.await.unwrap().served.expect("the first had its room");
+        assert_eq!(served.body.len(), 2 * BODY_SMALL);
+        let rest = upstreams.long_answers.take(BODY_MOST - 2 * BODY_SMALL);
+        assert!(rest.is_some(), "what it did not need came back");
+    }
+
     /// Guards against running out of descriptors: an idle connection makes room, and where there is none
     /// the wait ends as not sent, which says nothing of the upstream.
     #[tokio::test(flavor = "local")]
