Take an upstream for silent only from 0.6 of the aim on

Few requests go to each upstream there, so one may well have answered nothing since an attempt was sent: it was asked nothing else. The same follows from the skip rule, which passes over an upstream with an overdue attempt. One attempt in twenty is overdue by definition, and was called back then.

An attempt is now looked at when overdue, for the skip rule alone, at 0.6 of its aim, when another may still be in time, and at its aim.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -553,32 +553,32 @@
     }
 
     /// An attempt is out for longer than is usual: its upstream is passed over, and a second copy may go out.
-    /// It is looked at once more when its answer is worth nothing any longer.
+    /// It is looked at again when another may still be in time, and when it is worth nothing any longer.
     fn overdue(&mut self, id: RequestId, attempt: u8) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(a) = r.attempts.get_mut(usize::from(attempt)).filter(|a| a.out) else { return };
-        let spent = std::mem::replace(&mut a.overdue, true);
+        let again = std::mem::replace(&mut a.overdue, true);
         let class = &self.set.classes[r.class];
-        let usual = self.classes[r.class].usual.min(OVERDUE_BY * class.aim.as_secs_f64());
+        let by = a.sent + OVERDUE_BY * class.aim.as_secs_f64();
         let mut silent = true;
         if let Some(&j) = self.index.get(&a.upstream) {
             let u = &mut self.ring[j];
-            u.overdue += u32::from(!spent);
-            silent = u.alive_at <= a.sent.max(self.at - usual);
+            u.overdue += u32::from(!again);
+            silent = u.alive_at <= a.sent;
         }
-        // It is called back only from an upstream that has answered nothing for so long: from one that has,
-        // the work would be done for nobody, or twice for one answer.
+        // It is called back only from an upstream that has answered nothing since: from one that has, the
+        // work would be done for nobody, or twice for one answer.
         let last = r.attempts.len() >= usize::from(self.set.max_attempts);
-        let repeatable = class.effect != Effect::AtMostOnce && !class.streamed;
-        let again = !self.set.hedging && !last && repeatable && self.retries >= 1.0;
-        if self.set.cancelling && silent && (spent || again) {
+        let repeatable = class.effect != Effect::AtMostOnce && !class.streamed && !last;
+        let spare = repeatable && self.at >= by && !self.set.hedging && self.retries >= 1.0;
+        if self.set.cancelling && silent && (spare || self.at >= r.worth_until) {
             self.out.push(Action::Cancel { id, attempt: AttemptNo(attempt) });
-        } else if !spent && r.worth_until < r.deadline {
-            let left = Duration::from_secs_f64((r.worth_until - self.at).max(0.0));
-            self.due.insert((self.now + left, id, attempt));
+        } else if let Some(next) = [by, r.worth_until].into_iter().find(|t| *t > self.at && *t < r.deadline) {
+            let after = Duration::from_secs_f64((next - self.at).max(1e-6));
+            self.due.insert((self.now + after, id, attempt));
         }
         // Room for one: the overdue attempt itself is counted in what is held.
-        if !spent && self.set.hedging && self.room > -1.0 {
+        if !again && self.set.hedging && self.room > -1.0 {
             self.further(id, 1.0);
         }
     }
