Count what was called back as longer than usual, and call back no earlier

Ruled out: upstreams gone silent (every upstream answered other balancers in the same second), broken connections (no resets from upstreams), the budget of further attempts (it bounds the copies, not the calls back at the aim).

Cause: `learn` moved the 0.95 quantile `usual` only by attempts that were answered. A balancer of some ten requests a second asks each upstream about once a second, so that `silent` in `overdue` is true of nearly every attempt, and all that takes longer than 0.6 of the aim is called back and never counted. However many take that long, `usual` never hears of them; and `by` did not heed it anyway. The work called back is done all the same (no upstream there stops it), and done again elsewhere.

Mend: what was given up counts as longer than usual, and nothing is called back before it has taken longer than usual. Where more than one in twenty takes long, `usual` grows up to the aim and the calls back end.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -559,7 +559,7 @@
         let Some(a) = r.attempts.get_mut(usize::from(attempt)).filter(|a| a.out) else { return };
         let again = std::mem::replace(&mut a.overdue, true);
         let class = &self.set.classes[r.class];
-        let by = a.sent + OVERDUE_BY * class.aim.as_secs_f64();
+        let by = a.sent + self.classes[r.class].usual.max(OVERDUE_BY * class.aim.as_secs_f64());
         let mut silent = true;
         if let Some(&j) = self.index.get(&a.upstream) {
             let u = &mut self.ring[j];
@@ -642,12 +642,13 @@
         if ok {
             self.done += 1.0;
             learned.answers += ANSWERS_NEWEST * (latency - learned.answers);
-            learned.usual *=
-                if latency > learned.usual { 1.0 + 0.05 * USUAL } else { 1.0 - 0.05 * (1.0 - USUAL) };
-            learned.usual = learned.usual.clamp(2.0 * TICK, aim);
         }
         let slow = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) && overdue;
         if ok || slow {
+            // What was given up would have taken longer: else the giving up hides that it has become usual.
+            learned.usual *=
+                if slow || latency > learned.usual { 1.0 + 0.05 * USUAL } else { 1.0 - 0.05 * (1.0 - USUAL) };
+            learned.usual = learned.usual.clamp(2.0 * TICK, aim);
             let latency = if ok { latency.min(2.0 * aim) } else { (GIVEN_UP * latency).min(2.0 * aim) };
             let newest = ((self.at - learned.at) / LATENCY_OVER).clamp(LATENCY_NEWEST, 0.2);
             learned.at = self.at;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -155,6 +155,32 @@
     }
 }
 
+/// Guards against a fleet made slower by calling back what would have been answered: where most answers take longer
+/// than the earliest moment for that, and an upstream is asked too seldom to show that it lives, what was given up
+/// counts as longer than usual too, so that few are.
+#[test]
+fn what_was_called_back_counts_as_longer_than_usual() {
+    let mut set = settings(Effect::Idempotent);
+    set.hedging = false;
+    let mut bench = Bench::new(set, &fleet(8));
+    let mut called_back = 0;
+    for _ in 0..400 {
+        let id = bench.request(0, 0, ms(1000));
+        let mut attempt = 0;
+        while bench.at(id, attempt).is_some() {
+            let cancel = Action::Cancel { id, attempt: AttemptNo(attempt as u8) };
+            let cancelled = (0..30).any(|_| {
+                bench.run(ms(10));
+                bench.actions.contains(&cancel)
+            });
+            called_back += usize::from(cancelled);
+            bench.ended(id, attempt, if cancelled { Outcome::Cancelled } else { Outcome::Ok });
+            attempt += 1;
+        }
+    }
+    assert!(called_back <= 30, "{called_back} of 400 would have been answered");
+}
+
 /// An empty fleet: a refusal, at once, and service again as soon as there is one.
 #[test]
 fn none_ready_is_refused_and_a_newcomer_serves() {
