Believe the first reports of busy cores instead of climbing from nothing

Room then counts up to twice what is answered (`able` in `grant`), most right after a start.

Ruled out: late reports (those read say 0.8 and more), upstreams that report little.

Cause: `report` moves `busy` by a fiftieth of each report from nought. A balancer of some ten answers a second needs several seconds until it believes what every report says.

Mend: the first reports are averaged, until one weighs no more than a fiftieth.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,7 +8,7 @@
 
 use crate::interface::*;
 use crate::state::{Attempt, Bucket, Health, Learned, Request, Upstream};
-use crate::stats::Chance;
+use crate::stats::{Chance, Mean};
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
@@ -137,7 +137,7 @@
     done: f64,     // completions of the running tick
     rate_now: f64, // completions a second, smoothed
     room: f64,     // W
-    busy: f64,     // share of the upstreams' cores in use, by their reports
+    busy: Mean,    // share of the upstreams' cores in use, by their reports
     busy_at: f64,
     retries: f64,
     ticking: bool,
@@ -311,7 +311,7 @@
         if told {
             let busy = BUSY + BUSY_MORE * self.set.over_share_worth.min(0.5);
             // A rate once reached under load would go on admitting what turns a crowded upstream slow.
-            let able = seen * (busy / self.busy.max(0.1)).min(2.0);
+            let able = seen * (busy / self.busy.value().max(0.1)).min(2.0);
             self.rate += (tau / RATE_OVER).min(1.0) * (able - self.rate);
             within = within.min(self.latency());
         } else {
@@ -736,7 +736,7 @@
             match field {
                 LoadField::InFlight | LoadField::Queue => most = Some(value.max(most.unwrap_or(0.0))),
                 LoadField::Utilization => {
-                    self.busy += BUSY_NEWEST * (value.min(1.0) - self.busy);
+                    self.busy.add(value.min(1.0), BUSY_NEWEST);
                     self.busy_at = self.at;
                 }
                 _ => {}
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -174,3 +174,31 @@
     assert!(some > 600, "{some} of 1000 at seven tenths");
     assert!(all < 450, "{all} of 1000 where no core is free");
 }
+
+/// Guards a fleet whose balancers restart under load: a new one takes the first reports for what they say and does not
+/// climb from nothing, as to it all cores would seem free meanwhile.
+#[test]
+fn a_new_balancer_believes_its_first_reports() {
+    let mut set = settings(1, &[20.0]);
+    (set.reports, set.report_fields) = (Reports::Inline, vec![LoadField::Utilization]);
+    let mut bench = Bench::new(set, &fleet(4));
+    let (mut open, mut admitted) = (Vec::new(), 0);
+    for step in 0..4000 {
+        let id = bench.request(0, 0, ms(1000));
+        if let Some(upstream) = bench.at(id, 0) {
+            admitted += usize::from(step >= 500);
+            open.push((bench.now, id));
+            // Few answers carry one here.
+            if step % 40 == 0 {
+                let (outcome, latency, report) = (Outcome::Ok, ms(1), &[1.0][..]);
+                bench.tell(Event::ProbeEnded { upstream, outcome, latency, report });
+            }
+        }
+        bench.run(ms(2));
+        while open.first().is_some_and(|(at, _)| bench.now >= *at + ms(60)) {
+            let id = open.remove(0).1;
+            (0..bench.sent[&id].len()).for_each(|k| bench.ended(id, k, Outcome::Ok));
+        }
+    }
+    assert!(admitted < 1000, "{admitted} admitted in seven seconds beyond the first, of 140 guaranteed");
+}
