Let cold upstreams take turns by what is stated where little is answered

The class with the shortest aim is given up soonest, so it is ejected at most upstreams and lives by the cold ones alone.

Ruled out: missing tokens (25 to 40 in each balancer), trials (they come, at most every 24 s), the skip rule.

Cause: in `weigh` a cold upstream's turns were earned by `rate`, the answers this balancer sees; who gets few turns sees few answers and earns fewer turns still.

Mend: a cold upstream takes its turns in the ring by its weight as any other, and needs leave by the clock besides.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -133,6 +133,7 @@
     due: BTreeSet<(Duration, RequestId, u8)>, // when attempts out become overdue
     buckets: Vec<Bucket>,
     classes: Vec<Learned>,
+    stated: f64,   // what all tenants together may ask of this balancer a second
     rate: f64,     // C for each unit of turn weight
     done: f64,     // completions of the running tick
     rate_now: f64, // completions a second, smoothed
@@ -161,13 +162,8 @@
         let buckets = (0..count).map(|i| {
             let stated = set.tenants.get(i).map_or(0.0, |t| t.allowance_per_s);
             let guarantee = if stated > 0.0 { stated / f64::from(set.balancers) } else { 1.0 };
-            Bucket {
-                tokens: BUCKET_LEAST + guarantee * bucket_over(&set), // full
-                arrivals: 0.0,
-                demand: 0.0,
-                part: guarantee,
-                guarantee,
-            }
+            let tokens = BUCKET_LEAST + guarantee * bucket_over(&set); // full
+            Bucket { tokens, part: guarantee, guarantee, ..Bucket::default() }
         });
         let classes = set.classes.iter().map(|c| {
             let aim = c.aim.as_secs_f64();
@@ -180,6 +176,7 @@
             buckets: buckets.collect(),
             classes: classes.collect(),
             rate_now: each,
+            stated: each,
             set,
             busy_at: f64::NEG_INFINITY,
             retries: RETRY_SAVED,
@@ -392,15 +389,16 @@
                 warm_rate += u.weight;
             }
         }
-        // A cold upstream earns turns by the clock: where others are skipped the ring turns faster.
-        let each = if warm > 0.0 { self.rate * warm_rate / warm } else { self.rate };
+        // A cold upstream needs leave by the clock too: where others are skipped the ring turns faster. Where
+        // little is answered what is stated counts: else few turns make for few answers and these for fewer.
+        let seen = if warm > 0.0 { self.rate * warm_rate / warm } else { self.rate };
+        let each = seen.max(self.stated / f64::max(self.turns.len() as f64, 1.0));
         let cold = COLD_SHARE * self.set.fall_multiple;
         for j in &self.turns {
             let u = &mut self.ring[*j];
-            if u.started.is_none() {
-                continue;
+            if u.started.is_some() {
+                u.leave = (u.leave + tau * each * cold * u.weight).min(1.5);
             }
-            u.credit = (u.credit + tau * each * cold * u.weight).min(1.5);
         }
     }
 
@@ -421,11 +419,11 @@
             if u.weight <= 0.0 {
                 continue;
             }
-            if u.started.is_none() {
-                u.credit = (u.credit + u.weight).min(2.0);
-            }
-            if u.credit >= 1.0 {
+            u.credit = (u.credit + u.weight).min(2.0);
+            let cold = u.started.is_some();
+            if u.credit >= 1.0 && (!cold || u.leave >= 1.0) {
                 u.credit -= 1.0;
+                u.leave -= f64::from(u8::from(cold));
                 return Some(j);
             }
         }
@@ -646,9 +644,9 @@
         let slow = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) && overdue;
         if ok || slow {
             // What was given up would have taken longer: else the giving up hides that it has become usual.
-            learned.usual *=
-                if slow || latency > learned.usual { 1.0 + 0.05 * USUAL } else { 1.0 - 0.05 * (1.0 - USUAL) };
-            learned.usual = learned.usual.clamp(2.0 * TICK, aim);
+            let longer = slow || latency > learned.usual;
+            let by = if longer { 1.0 + 0.05 * USUAL } else { 1.0 - 0.05 * (1.0 - USUAL) };
+            learned.usual = (learned.usual * by).clamp(2.0 * TICK, aim);
             let latency = if ok { latency.min(2.0 * aim) } else { (GIVEN_UP * latency).min(2.0 * aim) };
             let newest = ((self.at - learned.at) / LATENCY_OVER).clamp(LATENCY_NEWEST, 0.2);
             learned.at = self.at;
@@ -702,7 +700,7 @@
                 u.ejected_until = self.at + length * (0.75 + 0.5 * self.rng.f64());
                 // Back as if cold, from a first turn at a random time: a slow trial by all balancers.
                 u.started = Some(u.ejected_until);
-                u.credit = self.rng.f64();
+                u.leave = self.rng.f64();
                 u.fresh = true;
                 self.choose_at = self.at;
             }
@@ -772,13 +770,11 @@
             let j = *self.index.entry(l.id).or_insert_with(|| {
                 // A newcomer to a list already known has just started, whatever the list says.
                 let started = started.or((!first).then_some(self.at));
-                let credit = self.rng.f64();
-                let health = vec![Health::default(); self.classes.len()];
                 self.ring.push(Upstream {
-                    health,
+                    health: vec![Health::default(); self.classes.len()],
                     id: l.id,
                     started,
-                    credit,
+                    leave: self.rng.f64(),
                     capacity: 1.0,
                     alive_at: f64::NEG_INFINITY,
                     fresh: !first,
@@ -807,7 +803,7 @@
             if let Some(s) = started.filter(fresh) {
                 // It has restarted: what was held against it is void, and it is cold.
                 u.started = Some(s);
-                (u.ejections, u.ejected_until, u.credit) = (0, 0.0, self.rng.f64());
+                (u.ejections, u.ejected_until, u.leave) = (0, 0.0, self.rng.f64());
                 u.health.fill(Health::default());
                 (u.fresh, changed) = (true, true);
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -30,6 +30,7 @@
     pub(crate) capacity: f64,       // share of a full-size upstream's work it can do now
     pub(crate) weight: f64,         // turns it gets each round of the ring
     pub(crate) credit: f64,         // turns earned and not taken
+    pub(crate) leave: f64,          // turns that a cold one may take
 }
 
 /// What one class has met at one upstream.
@@ -65,6 +66,7 @@
 }
 
 /// The token bucket of a tenant.
+#[derive(Default)]
 pub(crate) struct Bucket {
     pub(crate) tokens: f64,    // mu_i
     pub(crate) arrivals: f64,  // V_i of the running tick
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -181,6 +181,33 @@
     assert!(called_back <= 30, "{called_back} of 400 would have been answered");
 }
 
+/// Guards against a circle: who has little to go by admits little, so that cold upstreams earn few turns and little is
+/// answered. What the settings say of the load stands for what is not seen.
+#[test]
+fn cold_upstreams_earn_turns_though_nothing_was_answered_for_long() {
+    let mut set = settings(Effect::AtMostOnce);
+    (set.cold_from, set.cold_time, set.tenants) = (0.2, ms(60_000), vec![Tenant { allowance_per_s: 20.0 }]);
+    (set.reports, set.report_fields) = (Reports::Inline, vec![LoadField::Utilization]);
+    let mut bench = Bench::new(set, &fleet(8));
+    let started = Some(bench.now);
+    let restarted: Vec<_> = (1..=8).map(|id| Listed { started, ..listed(id) }).collect();
+    bench.tell(Event::Fleet { scope: FleetScope::Changes, listed: &restarted });
+    for _ in 0..40 {
+        let id = bench.request(0, 0, ms(450));
+        bench.run(ms(450));
+        if let Some(upstream) = bench.at(id, 0) {
+            bench.ended(id, 0, Outcome::TimedOut);
+            let (outcome, latency, report) = (Outcome::Ok, ms(1), &[0.5][..]);
+            bench.tell(Event::ProbeEnded { upstream, outcome, latency, report });
+        }
+    }
+    // A third of what is stated: a fifth of the fleet's strength, grown to a half meanwhile, can do that.
+    let before = bench.sent.len();
+    bench.traffic(40, ms(150), |_| Some(Outcome::Ok));
+    let sent = bench.sent.len() - before;
+    assert!(sent >= 36, "{sent} of 40 sent once all is well");
+}
+
 /// An empty fleet: a refusal, at once, and service again as soon as there is one.
 #[test]
 fn none_ready_is_refused_and_a_newcomer_serves() {
