Let a connection that falls idle make room for an attempt that waits

Checked: a wake-up lost with a waiter that is dropped; no, tokio hands it on. What is lost is that `Pool::put` tells nobody: `slot` looks for idle connections once and waits for a closed one. A place freed while nobody waits leaves a wake-up behind, too, for which the next wait closes one idle connection more than it needs.

Mend: tokio's semaphore holds the places, in line and safe to drop; who waits is told what falls idle, takes it if it leads to the same upstream and has it closed if not.

--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -4,32 +4,19 @@
 use crate::seldom::Seldom;
 use lapisroute::UpstreamId;
 use rustc_hash::FxHashMap;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
-use std::rc::Rc;
+use std::pin::pin;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 
 /// How often idle connections are looked over.
 const SWEEP_EVERY: Duration = Duration::from_millis(100);
 
-/// Connections open to all upstreams together.
-#[derive(Default)]
-struct Open {
-    count: Cell<usize>,
-    freed: Notify,
-}
-
-/// One of them, until its descriptor is closed.
-pub struct Slot(Rc<Open>);
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.0.count.set(self.0.count.get() - 1);
-        self.0.freed.notify_one();
-    }
-}
+/// One of the connections that may be open to all upstreams together, until its descriptor is closed.
+pub type Slot = OwnedSemaphorePermit;
 
 /// An idle connection.
 struct Kept {
@@ -64,7 +51,9 @@
 /// The connections to all upstreams.
 pub struct Pool {
     idle: RefCell<Idle>,
-    open: Rc<Open>,
+    /// Told to all that wait for a slot.
+    fell_idle: Notify,
+    slots: Arc<Semaphore>,
     most_open: usize,
     idle_most: Duration,
     full: Seldom,
@@ -73,7 +62,14 @@
 impl Pool {
     /// At most `most_open` connections, each of use while it has not been idle for `idle_most`.
     pub fn new(most_open: usize, idle_most: Duration) -> Self {
-        Self { idle: RefCell::default(), open: Rc::default(), most_open, idle_most, full: Seldom::default() }
+        Self {
+            idle: RefCell::default(),
+            fell_idle: Notify::new(),
+            slots: Arc::new(Semaphore::new(most_open)),
+            most_open,
+            idle_most,
+            full: Seldom::default(),
+        }
     }
 
     /// Keeps a connection on which nothing is out.
@@ -86,6 +82,7 @@
         idle.next += 1;
         idle.kept.insert(number, Kept { upstream, connection, since: Instant::now() });
         idle.of.entry(upstream).or_default().push_back(number);
+        self.fell_idle.notify_waiters();
     }
 
     /// The connection to an upstream that fell idle last, if any is still of use.
@@ -115,16 +112,26 @@
         number.and_then(|number| idle.remove(number)).is_some()
     }
 
-    /// Room for one more connection, made by closing an idle one if need be.
-    pub async fn slot(&self) -> Slot {
-        while self.open.count.get() >= self.most_open {
-            if !self.close_oldest() {
-                self.full.warn(|| format!("all {} connections to upstreams are in use", self.most_open));
+    /// Room for one more connection to an upstream, made by closing an idle one if need be. `None`: one to that
+    /// upstream has fallen idle while there was none.
+    pub async fn slot(&self, upstream: UpstreamId) -> Option<Slot> {
+        if self.slots.available_permits() == 0 && !self.close_oldest() {
+            self.full.warn(|| format!("all {} connections to upstreams are in use", self.most_open));
+        }
+        let mut slot = pin!(Arc::clone(&self.slots).acquire_owned());
+        loop {
+            let fell_idle = self.fell_idle.notified();
+            tokio::select! {
+                biased;
+                slot = slot.as_mut() => return slot.ok(),
+                () = fell_idle => {
+                    if self.idle.borrow().of.contains_key(&upstream) {
+                        return None;
+                    }
+                    self.close_oldest();
+                }
             }
-            self.open.freed.notified().await;
         }
-        self.open.count.set(self.open.count.get() + 1);
-        Slot(Rc::clone(&self.open))
     }
 
     /// Closes what has been idle for long, again and again.
@@ -144,7 +151,7 @@
     /// How many connections are open.
     #[cfg(test)]
     pub fn open(&self) -> usize {
-        self.open.count.get()
+        self.most_open - self.slots.available_permits()
     }
 }
 
@@ -164,12 +171,12 @@
         let pool = Pool::new(9, LONG);
         let order = [3, 8, 1, 7, 2, 9, 4, 6, 5].map(UpstreamId);
         for upstream in order {
-            pool.put(upstream, Connection::open(peer, pool.slot().await).await.unwrap());
+            pool.put(upstream, Connection::open(peer, pool.slot(upstream).await).await.unwrap());
         }
         let mut slots = Vec::new();
         for (n, upstream) in order.into_iter().enumerate() {
             assert!(pool.idle.borrow().of.contains_key(&upstream));
-            slots.push(pool.slot().await);
+            slots.push(pool.slot(UpstreamId(99)).await);
             assert!(!pool.idle.borrow().of.contains_key(&upstream), "{n}");
             assert_eq!((pool.idle.borrow().kept.len(), pool.open()), (8 - n, 9));
         }
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -181,15 +181,21 @@
         upstream: &Upstream,
         give_up: Instant,
     ) -> Result<(Connection, bool), Outcome> {
-        while let Some(mut connection) = self.pool.take(id) {
-            if connection.is_usable().await {
-                return Ok((connection, true));
+        let until = give_up.min(Instant::now() + self.connect_timeout);
+        let slot = loop {
+            while let Some(mut connection) = self.pool.take(id) {
+                if connection.is_usable().await {
+                    return Ok((connection, true));
+                }
             }
-        }
+            match timeout_at(until, self.pool.slot(id)).await {
+                Ok(Some(slot)) => break slot,
+                Ok(None) => {}
+                // Out of descriptors or of time says nothing of the upstream.
+                Err(_) => return Err(Outcome::NotSent),
+            }
+        };
         let Some(endpoint) = upstream.endpoint.get() else { return Err(Outcome::NotSent) };
-        let until = give_up.min(Instant::now() + self.connect_timeout);
-        // Out of descriptors or of time says nothing of the upstream.
-        let Ok(slot) = timeout_at(until, self.pool.slot()).await else { return Err(Outcome::NotSent) };
         match timeout_at(until, Connection::open(endpoint, slot)).await {
             Ok(Ok(connection)) => Ok((connection, false)),
             Ok(Err(e)) if out_of_descriptors(&e) => Err(Outcome::NotSent),
@@ -469,6 +475,40 @@
         assert_eq!(stream.read(&mut [0; 1024]).await.unwrap_or(0), 0, "nothing more came");
     }
 
+    /// Guards what waits for a place: a connection that falls idle is one, whichever upstream it leads to, and goes
+    /// to the next in line where the first has left.
+    #[tokio::test(flavor = "local")]
+    async fn a_connection_that_falls_idle_makes_room_for_those_that_wait() {
+        for same in [true, false] {
+            let (upstreams, listener, place) = upstreams(1).await;
+            let other = if same { ID } else { UpstreamId(8) };
+            upstreams.place(other, &place);
+            let attempt = |id: UpstreamId| {
+                let upstreams = Rc::clone(&upstreams);
+                spawn_local(async move { upstreams.attempt(id, &outgoing(), Instant::now() + LONG).await })
+            };
+            let first = attempt(ID);
+            let (mut stream, _) = listener.accept().await.unwrap();
+            assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+            let (leaves, stays) = (attempt(other), attempt(other));
+            tokio::task::yield_now().await;
+            leaves.abort();
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+            assert_eq!(first.await.unwrap().outcome, Outcome::Ok);
+            let answer = async {
+                if !same {
+                    stream = listener.accept().await.unwrap().0;
+                }
+                assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+                stays.await.unwrap()
+            };
+            let soon = Instant::now() + LONG / 4;
+            let ended = timeout_at(soon, answer).await.expect("before anything is swept");
+            assert_eq!(ended.outcome, Outcome::Ok);
+        }
+    }
+
     /// Guards against another request's answer: what came behind an answer on a kept connection, a second copy
     /// perhaps and perhaps unseen by this process as yet, is not taken for the answer to the next request.
     #[tokio::test(flavor = "local")]
@@ -672,7 +712,7 @@
             assert_eq!(ended.outcome, Outcome::Ok);
             assert_eq!(upstreams.pool.open(), 1);
         }
-        let _taken = upstreams.pool.slot().await;
+        let _taken = upstreams.pool.slot(ID).await;
         let ended = upstreams.attempt(ID, &outgoing(), Instant::now() + Duration::from_millis(50)).await;
         assert_eq!(ended.outcome, Outcome::NotSent);
     }
