Send nothing on for a client that has left while its request waited

Seen: with cancelling not allowed, of two requests at an upstream with room for one connection, the second is written to it when the first is answered, though its client has left long before.

Checked: with cancelling the module calls the attempt back, and it ends; a client that leaves while its connection waits for a place is noticed before anything is sent (a test of it passes with and without this mend and stays).

Cause: `Driver`, `Happening::Gone` tells the module alone, which cancels only where the settings allow it. An attempt that waits for a slot or a handshake, or whose bytes the kernel has not taken yet, has not been sent: ending it needs no leave.

Mend: what a client waits for goes with a channel that attempts watch. It ends with the final answer or the client; what has not left whole by then ends as not sent, what has is the module's affair as before. Further copies that still wait when another has answered end likewise.

--- a/node/src/connection.rs
+++ b/node/src/connection.rs
@@ -139,9 +139,9 @@
         self.sender.ready().await.is_ok()
     }
 
-    /// Bytes that the kernel has taken so far.
-    pub fn written(&self) -> u64 {
-        self.written.get()
+    /// Counts the bytes that the kernel has taken.
+    pub fn written(&self) -> Rc<Cell<u64>> {
+        Rc::clone(&self.written)
     }
 
     /// Sends a request and waits for the head of its answer. Nothing of it goes out where something has come
@@ -199,7 +199,7 @@
             let (answer, read) = tokio::join!(connection.send(request), upstream);
             assert!(answer.unwrap().status().is_success());
             assert!(read.ends_with(&format!("\r\n\r\n{body}")), "{read:?}");
-            assert_eq!(connection.written(), length);
+            assert_eq!(connection.written().get(), length);
         }
     }
 }
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -91,11 +91,18 @@
 
 struct Held {
     asked: Rc<Asked>,
-    /// Taken with the final answer.
-    reply: Option<oneshot::Sender<Answer>>,
+    /// Taken with the final answer, or when the client has gone.
+    reply: Option<Reply>,
     attempts: Vec<Attempt>,
 }
 
+/// What a client waits for.
+struct Reply {
+    answer: oneshot::Sender<Answer>,
+    /// Its end is seen by the attempts: what has not been sent by then is sent no more.
+    awaited: watch::Sender<()>,
+}
+
 struct Core {
     balancer: Balancer,
     requests: FxHashMap<RequestId, Held>,
@@ -157,6 +164,7 @@
             // Ids are not reused while one may be in use: they go round only after 2^32 requests.
             let id = RequestId(core.next_id);
             core.next_id = core.next_id.wrapping_add(1);
+            let reply = Reply { answer: reply, awaited: watch::Sender::new(()) };
             let held = Held { asked: Rc::new(asked), reply: Some(reply), attempts: Vec::new() };
             core.requests.insert(id, held);
             id
@@ -222,7 +230,7 @@
                     && let Some(reply) = held.reply.take()
                 {
                     // Where the client has just gone, nobody waits for it.
-                    let _ = reply.send(Answer::Served(served));
+                    let _ = reply.answer.send(Answer::Served(served));
                 }
                 let finished = held.reply.is_none();
                 let event = Event::AttemptEnded {
@@ -349,6 +357,8 @@
         timeout: Option<Duration>,
     ) {
         let Some(held) = core.requests.get_mut(&id) else { return };
+        let Some(reply) = &held.reply else { return };
+        let mut awaited = reply.awaited.subscribe();
         let (sent, no) = (Instant::now(), AttemptNo(held.attempts.len() as u8));
         let give_up = timeout.map_or(held.asked.deadline, |t| held.asked.deadline.min(sent + t));
         let (driver, asked) = (Rc::clone(self), Rc::clone(&held.asked));
@@ -358,7 +368,7 @@
                 Outcome::NotSent.into()
             } else {
                 tokio::select! {
-                    ended = driver.upstreams.attempt(upstream, &asked.outgoing, give_up) => ended,
+                    ended = driver.upstreams.attempt(upstream, &asked.outgoing, give_up, &mut awaited) => ended,
                     _ = cut_off.wait_for(|cut| *cut) => Outcome::TimedOut.into(),
                 }
             };
@@ -369,7 +379,7 @@
 
     fn answer(&self, core: &mut Core, id: RequestId, answer: Answer) {
         if let Some(reply) = core.requests.get_mut(&id).and_then(|held| held.reply.take()) {
-            let _ = reply.send(answer);
+            let _ = reply.answer.send(answer);
         }
         self.forget_if_over(core, id);
     }
@@ -407,3 +417,60 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use bytes::Bytes;
+    use hyper::{HeaderMap, Method, Uri};
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::{TcpListener, TcpStream};
+    use tokio::task::yield_now;
+
+    const LONG: Duration = Duration::from_secs(60);
+
+    fn asked(target: &'static str) -> Asked {
+        let (method, target) = (Method::POST, Uri::from_static(target));
+        let outgoing = Outgoing { method, target, headers: HeaderMap::new(), body: Bytes::new() };
+        let (class, tenant, deadline) = (ClassId(0), TenantId(0), Instant::now() + LONG);
+        Asked { class, tenant, deadline, work_ms: None, repeat: false, outgoing }
+    }
+
+    async fn read(stream: &mut TcpStream) -> String {
+        let mut text = [0; 1024];
+        let n = stream.read(&mut text).await.unwrap();
+        String::from_utf8_lossy(&text[..n]).into_owned()
+    }
+
+    /// Guards against work for nobody where nothing may be cancelled: a request whose client leaves while its
+    /// attempt waits for a connection is not sent, while one that is out is left.
+    #[tokio::test(flavor = "local")]
+    async fn a_request_whose_client_left_while_it_waited_is_not_sent() {
+        let class = r#"{"name":"book","aim_ms":60000,"hard_limit_ms":60000,"effect":"at_most_once"}"#;
+        let rest = r#""limits":{"cancelling":false},"parties":[{"name":"acme","allowance_per_s":1000.0}]"#;
+        let site = lapisroute_settings::parse(&format!(r#"{{"classes":[{class}],{rest}}}"#)).unwrap();
+        let upstream = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let endpoint = upstream.local_addr().unwrap();
+        let discovery = Discovery::new(endpoint, site.names.clone());
+        let entry = format!(r#"{{"uid":"s-0","endpoint":"{endpoint}","state":"Ready"}}"#);
+        let known = discovery.known(&format!(r#"{{"rev":1,"all":true,"targets":[{entry}]}}"#));
+        let mut settings = site.settings.clone();
+        settings.connect_timeout = LONG;
+        let balancer = Balancer::new(settings.clone(), 7).unwrap();
+        let driver = Driver::start(balancer, Upstreams::new(&settings, 1, 0), discovery, known, true);
+        let first = driver.ask(asked("/first"));
+        let (mut stream, _) = upstream.accept().await.unwrap();
+        assert!(read(&mut stream).await.starts_with("POST /first"));
+        // The only place for a connection is taken.
+        let second = driver.ask(asked("/second"));
+        let third = driver.ask(asked("/third"));
+        yield_now().await;
+        drop(second);
+        drop(first);
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+        let next = read(&mut stream).await;
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+        assert!(next.starts_with("POST /third"), "{next:?}");
+        assert!(matches!(third.answer().await, Answer::Served(_)));
+    }
+}
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -278,6 +278,48 @@
         serving.await.unwrap();
     }
 
+    /// Guards against work for nobody: a client that leaves while its connection waits for a place is not sent on.
+    #[tokio::test(flavor = "local")]
+    async fn a_client_that_leaves_before_it_has_a_place_is_not_sent_on() {
+        let class = r#"{"name":"book","aim_ms":60000,"hard_limit_ms":60000,"effect":"at_most_once"}"#;
+        let site = format!(
+            r#"{{"classes":[{class}],"limits":{{"cancelling":false}},
+            "parties":[{{"name":"acme","allowance_per_s":1000.0}}]}}"#
+        );
+        let site = lapisroute_settings::parse(&site).unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let upstream = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let upstreams = Upstreams::new(&site.settings, 8, 0);
+        let discovery = Discovery::new(address, site.names.clone());
+        let endpoint = upstream.local_addr().unwrap();
+        let entry = format!(r#"{{"uid":"s-0","endpoint":"{endpoint}","state":"Ready"}}"#);
+        let known = discovery.known(&format!(r#"{{"rev":1,"all":true,"targets":[{entry}]}}"#));
+        let balancer = Balancer::new(site.settings.clone(), 7).unwrap();
+        let driver = Driver::start(balancer, upstreams, discovery, known, true);
+        let (_phase, phases) = watch::channel(Phase::Serving);
+        spawn_local(Server::new(driver, &site, phases).run(listener, 1));
+        let ask = async |id: &str| {
+            let mut client = TcpStream::connect(address).await.unwrap();
+            let head = "POST /book HTTP/1.1\r\nHost: app.svc\r\nX-Account: acme\r\nX-Time-Left-Ms: 60000\r\n";
+            let request = format!("{head}X-Correlation-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+            client.write_all(request.as_bytes()).await.unwrap();
+            client
+        };
+        let held = ask("first").await;
+        let (mut stream, _) = upstream.accept().await.unwrap();
+        let mut request = [0; 1024];
+        assert!(stream.read(&mut request).await.unwrap() > 0);
+        drop(ask("leaves").await);
+        let _stays = ask("stays").await;
+        // It makes room between two requests, and its connection to the upstream is at hand.
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+        let n = stream.read(&mut request).await.unwrap();
+        let next = String::from_utf8_lossy(&request[..n]);
+        drop(held);
+        assert!(next.contains("stays"), "{next:?}");
+    }
+
     /// Guards an answer on its way to a client who reads slowly: the end of its connection waits for it.
     #[tokio::test(flavor = "local")]
     async fn an_answer_on_its_way_is_finished() {
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -23,6 +23,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
 /// The longest body of an answer; more is no answer. Those of requests are shorter: some answers hold some
@@ -208,12 +209,24 @@
         }
     }
 
-    /// Sends a request to an upstream and waits for the answer until `give_up`.
-    pub async fn attempt(&self, id: UpstreamId, outgoing: &Outgoing, give_up: Instant) -> Ended {
+    /// Sends a request to an upstream and waits for the answer until `give_up`. Where nobody waits for it any
+    /// more, as the end of `awaited` tells, before it has left whole, it does not.
+    pub async fn attempt(
+        &self,
+        id: UpstreamId,
+        outgoing: &Outgoing,
+        give_up: Instant,
+        awaited: &mut watch::Receiver<()>,
+    ) -> Ended {
         let upstream = self.known.borrow().get(&id).map(Rc::clone);
         let Some(upstream) = upstream else { return Outcome::NotSent.into() };
         loop {
-            let (mut connection, reused) = match self.connection(id, &upstream, give_up).await {
+            let got = tokio::select! {
+                biased;
+                _ = awaited.changed() => Err(Outcome::NotSent),
+                got = self.connection(id, &upstream, give_up) => got,
+            };
+            let (mut connection, reused) = match got {
                 Ok(got) => got,
                 Err(outcome) => return outcome.into(),
             };
@@ -224,9 +237,23 @@
                 return Outcome::NotSent.into();
             }
             let request = request(outgoing, left);
-            let (before, length) = (connection.written(), wire_length(&request));
-            let exchanged = timeout_at(give_up, exchange(&mut connection, request, &self.long_answers)).await;
-            let written = connection.written() - before;
+            let (written, length) = (connection.written(), wire_length(&request));
+            let before = written.get();
+            let exchanged = {
+                let exchanged = timeout_at(give_up, exchange(&mut connection, request, &self.long_answers));
+                tokio::pin!(exchanged);
+                tokio::select! {
+                    biased;
+                    exchanged = exchanged.as_mut() => exchanged,
+                    _ = awaited.changed() => {
+                        if written.get() - before < length {
+                            return Outcome::NotSent.into();
+                        }
+                        exchanged.await
+                    }
+                }
+            };
+            let written = written.get() - before;
             match exchanged {
                 Ok(Ok(response)) => {
                     // An answer that came before the request had left whole leaves the rest in the way.
@@ -260,7 +287,8 @@
         let mut headers = HeaderMap::with_capacity(3);
         headers.insert(HOST, HeaderValue::from_static("upstream"));
         let outgoing = Outgoing { method: Method::GET, target, headers, body: Bytes::new() };
-        let mut ended = self.attempt(id, &outgoing, Instant::now() + PROBE_TIMEOUT).await;
+        let (_waits, mut awaited) = watch::channel(());
+        let mut ended = self.attempt(id, &outgoing, Instant::now() + PROBE_TIMEOUT, &mut awaited).await;
         if let Some(served) = &ended.served
             && self.reports != Reports::Off
             && ended.report.is_empty()
@@ -445,6 +473,12 @@
         }
     }
 
+    /// An attempt for a client that waits.
+    async fn attempt(upstreams: &Upstreams, id: UpstreamId, request: &Outgoing) -> Ended {
+        let (_waits, mut awaited) = watch::channel(());
+        upstreams.attempt(id, request, Instant::now() + LONG, &mut awaited).await
+    }
+
     async fn upstreams(most_open: usize) -> (Rc<Upstreams>, TcpListener, Place) {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let settings = Settings { connect_timeout: LONG, conn_idle: LONG, ..Settings::default() };
@@ -460,12 +494,12 @@
     async fn an_attempt_that_waits_for_a_connection_heeds_a_drain() {
         let (upstreams, listener, mut place) = upstreams(1).await;
         let held = Rc::clone(&upstreams);
-        let first = spawn_local(async move { held.attempt(ID, &outgoing(), Instant::now() + LONG).await });
+        let first = spawn_local(async move { attempt(&held, ID, &outgoing()).await });
         let (mut stream, _) = listener.accept().await.unwrap();
         assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
         // The only place is taken: this one waits.
         let waits = Rc::clone(&upstreams);
-        let second = spawn_local(async move { waits.attempt(ID, &outgoing(), Instant::now() + LONG).await });
+        let second = spawn_local(async move { attempt(&waits, ID, &outgoing()).await });
         tokio::task::yield_now().await;
         place.availability = Availability::Draining;
         upstreams.place(ID, &place);
@@ -483,14 +517,14 @@
             let (upstreams, listener, place) = upstreams(1).await;
             let other = if same { ID } else { UpstreamId(8) };
             upstreams.place(other, &place);
-            let attempt = |id: UpstreamId| {
+            let sent = |id: UpstreamId| {
                 let upstreams = Rc::clone(&upstreams);
-                spawn_local(async move { upstreams.attempt(id, &outgoing(), Instant::now() + LONG).await })
+                spawn_local(async move { attempt(&upstreams, id, &outgoing()).await })
             };
-            let first = attempt(ID);
+            let first = sent(ID);
             let (mut stream, _) = listener.accept().await.unwrap();
             assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
-            let (leaves, stays) = (attempt(other), attempt(other));
+            let (leaves, stays) = (sent(other), sent(other));
             tokio::task::yield_now().await;
             leaves.abort();
             stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
@@ -509,6 +543,43 @@
         }
     }
 
+    /// Guards against work for nobody where the settings allow no cancelling: what waits for a connection, or is
+    /// still on its way out, when its client goes is not sent; what has left whole is waited for.
+    #[tokio::test(flavor = "local")]
+    async fn what_nobody_waits_for_is_not_sent() {
+        let (upstreams, listener, _) = upstreams(1).await;
+        let (waits, mut awaited) = watch::channel(());
+        let held = Rc::clone(&upstreams);
+        let first =
+            spawn_local(
+                async move { held.attempt(ID, &outgoing(), Instant::now() + LONG, &mut awaited).await },
+            );
+        let (mut stream, _) = listener.accept().await.unwrap();
+        assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+        drop(waits);
+        // The only place is taken: this one waits, and its client goes.
+        let (waits, mut awaited) = watch::channel(());
+        let held = Rc::clone(&upstreams);
+        let second =
+            spawn_local(
+                async move { held.attempt(ID, &outgoing(), Instant::now() + LONG, &mut awaited).await },
+            );
+        tokio::task::yield_now().await;
+        drop(waits);
+        assert_eq!(second.await.unwrap().outcome, Outcome::NotSent);
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+        assert_eq!(first.await.unwrap().outcome, Outcome::Ok, "it had left whole");
+        // Far more than the kernel takes while nobody reads.
+        let long = Outgoing { body: Bytes::from(vec![0; 64 << 20]), ..outgoing() };
+        let (waits, mut awaited) = watch::channel(());
+        let held = Rc::clone(&upstreams);
+        let third =
+            spawn_local(async move { held.attempt(ID, &long, Instant::now() + LONG, &mut awaited).await });
+        assert!(stream.read(&mut [0; 1]).await.unwrap() > 0, "it has begun");
+        drop(waits);
+        assert_eq!(third.await.unwrap().outcome, Outcome::NotSent);
+    }
+
     /// Guards against another request's answer: what came behind an answer on a kept connection, a second copy
     /// perhaps and perhaps unseen by this process as yet, is not taken for the answer to the next request.
     #[tokio::test(flavor = "local")]
@@ -527,8 +598,7 @@
                     (stream, later)
                 };
                 let request = outgoing();
-                let (ended, (mut stream, later)) =
-                    tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), first);
+                let (ended, (mut stream, later)) = tokio::join!(attempt(&upstreams, ID, &request), first);
                 assert_eq!(ended.outcome, Outcome::Ok);
                 // No task runs between this and the next attempt, but for this write.
                 assert_eq!(stream.try_write(later).unwrap(), later.len());
@@ -538,8 +608,7 @@
                     stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew").await.unwrap();
                     stream
                 };
-                let both =
-                    async { tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), second) };
+                let both = async { tokio::join!(attempt(&upstreams, ID, &request), second) };
                 let (ended, _second) =
                     timeout_at(Instant::now() + LONG, both).await.expect("a new connection");
                 assert_eq!(&ended.served.expect("an answer").body[..], b"new");
@@ -561,7 +630,7 @@
             };
             let request = outgoing();
             // Without the guard the request goes into the old connection and no new one ever comes.
-            let both = async { tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), answer) };
+            let both = async { tokio::join!(attempt(&upstreams, ID, &request), answer) };
             let (ended, stream) = timeout_at(Instant::now() + LONG, both).await.expect("a new connection");
             assert_eq!(ended.outcome, Outcome::Ok);
             // No task runs between this and the next attempt.
@@ -606,7 +675,7 @@
                 stream
             };
             let request = outgoing();
-            let both = async { tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), answer) };
+            let both = async { tokio::join!(attempt(&upstreams, ID, &request), answer) };
             let (ended, _open) = timeout_at(Instant::now() + LONG, both).await.expect("a new connection");
             assert_eq!(ended.outcome, outcome, "{:?}", &text[..text.len().min(80)]);
         }
@@ -618,7 +687,7 @@
                 stream.write_all(text.as_bytes()).await.unwrap();
             };
             let request = outgoing();
-            let (ended, ()) = tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), answer);
+            let (ended, ()) = tokio::join!(attempt(&upstreams, ID, &request), answer);
             assert_eq!(ended.outcome, Outcome::Reset, "{text:?}");
         }
     }
@@ -643,7 +712,7 @@
                 let _ = stream.write_all(text.as_bytes()).await;
             };
             let request = outgoing();
-            let (ended, ()) = tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), answer);
+            let (ended, ()) = tokio::join!(attempt(&upstreams, ID, &request), answer);
             if !(4..=5).contains(&n) {
                 let served = ended.served.expect("there is room");
                 assert_eq!(served.body.len(), BODY_MOST);
@@ -666,7 +735,7 @@
         let chunk = format!("{:x}\r\n{}\r\n", 2 * BODY_SMALL, "y".repeat(2 * BODY_SMALL));
         let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
         let first = Rc::clone(&upstreams);
-        let first = spawn_local(async move { first.attempt(ID, &outgoing(), Instant::now() + LONG).await });
+        let first = spawn_local(async move { attempt(&first, ID, &outgoing()).await });
         let (mut slow, _) = listener.accept().await.unwrap();
         assert!(slow.read(&mut [0; 1024]).await.unwrap() > 0);
         slow.write_all(format!("{head}{chunk}").as_bytes()).await.unwrap();
@@ -683,7 +752,7 @@
             let _ = stream.write_all(format!("{head}{chunk}0\r\n\r\n").as_bytes()).await;
         };
         let request = outgoing();
-        let (second, ()) = tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), answer);
+        let (second, ()) = tokio::join!(attempt(&upstreams, ID, &request), answer);
         assert_eq!(second.outcome, Outcome::Error, "no room beside the first");
         slow.write_all(b"0\r\n\r\n").await.unwrap();
         let served = first.await.unwrap().served.expect("the first had its room");
@@ -707,13 +776,15 @@
                 stream
             };
             let request = outgoing();
-            let (ended, _stream) =
-                tokio::join!(upstreams.attempt(id, &request, Instant::now() + LONG), answer);
+            let (ended, _stream) = tokio::join!(attempt(&upstreams, id, &request), answer);
             assert_eq!(ended.outcome, Outcome::Ok);
             assert_eq!(upstreams.pool.open(), 1);
         }
         let _taken = upstreams.pool.slot(ID).await;
-        let ended = upstreams.attempt(ID, &outgoing(), Instant::now() + Duration::from_millis(50)).await;
+        let (_waits, mut awaited) = watch::channel(());
+        let ended = upstreams
+            .attempt(ID, &outgoing(), Instant::now() + Duration::from_millis(50), &mut awaited)
+            .await;
         assert_eq!(ended.outcome, Outcome::NotSent);
     }
 }
