Read lists from a watch as JSON values, however many lines they take

Seen: a list that comes indented over a watch ends it as unreadable at its first line, and the whole list is asked for, which comes indented too: no change arrives any more. A list with no line end behind it waits for the next.

Cause: `Discovery::follow` took each line for a list.

Mend: serde_json's streaming deserializer reads what has come; a list counts with its last byte. As before, what is no list has the whole one asked for again, one without an end is ended by the watch's silence or its length, and only a list or a blank line between two shows that the watch lives. Bytes inside a list do not.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -24,8 +24,8 @@
 const SILENCE_MOST: Duration = Duration::from_millis(3500);
 /// How long a connection to discovery may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
-/// The longest line, and the longest list: more is no list.
-const LINE_MOST: usize = 8 * 1024 * 1024;
+/// The longest list: more is no list.
+const LIST_MOST: usize = 8 * 1024 * 1024;
 
 /// An upstream as listed, for the library and for the connections.
 #[derive(Clone, Debug, PartialEq)]
@@ -123,8 +123,8 @@
     }
 
     /// Reads a list. An entry that can't be read is skipped; a list that can't be read is an error.
-    fn read(&self, text: &[u8]) -> Result<News, Failure> {
-        let list: RawList<'_> = serde_json::from_slice(text)?;
+    fn read(&self, text: &str) -> Result<News, Failure> {
+        let list: RawList<'_> = serde_json::from_str(text)?;
         let entries = list.targets.iter().filter_map(|raw| {
             let entry = self.entry(raw.get());
             entry.map_err(|e| self.odd.warn(|| format!("unreadable list entry: {e}"))).ok()
@@ -159,7 +159,7 @@
 
     /// The list from the configuration, as [`FleetScope::Cached`].
     pub fn known(&self, text: &str) -> News {
-        let read = if text.is_empty() { Ok(News::failed()) } else { self.read(text.as_bytes()) };
+        let read = if text.is_empty() { Ok(News::failed()) } else { self.read(text) };
         let entries = read.map_or_else(
             |e| {
                 tracing::warn!("the list known before the start is unreadable: {e}");
@@ -174,9 +174,9 @@
     pub async fn fetch(&self) -> News {
         let read = async {
             let (_connection, body) = timeout(SILENCE_MOST, self.ask("/registry/instances")).await??;
-            let body = http_body_util::Limited::new(body, LINE_MOST);
+            let body = http_body_util::Limited::new(body, LIST_MOST);
             let text = timeout(SILENCE_MOST, body.collect()).await??.to_bytes();
-            let news = self.read(&text)?;
+            let news = self.read(std::str::from_utf8(&text)?)?;
             Ok::<_, Failure>(News { scope: FleetScope::Full, ..news })
         };
         read.await.unwrap_or_else(|e| {
@@ -210,19 +210,19 @@
     async fn follow(&self, mut tell: impl FnMut(News)) -> Result<(), Failure> {
         let target = format!("/registry/instances?stream=1&index={}", self.rev.get());
         let (_connection, mut body) = timeout(SILENCE_MOST, self.ask(&target)).await??;
-        let (mut pending, mut last_line) = (BytesMut::new(), Instant::now());
-        while let Some(frame) = timeout_at(last_line + SILENCE_MOST, body.frame()).await? {
+        let (mut pending, mut last_word) = (BytesMut::new(), Instant::now());
+        while let Some(frame) = timeout_at(last_word + SILENCE_MOST, body.frame()).await? {
             let Ok(data) = frame?.into_data() else { continue };
-            let mut searched = pending.len();
             pending.extend_from_slice(&data);
-            while let Some(n) = pending[searched..].iter().position(|byte| *byte == b'\n') {
-                let line = pending.split_to(searched + n + 1);
-                (searched, last_line) = (0, Instant::now());
-                let line = line.trim_ascii();
-                if line.is_empty() {
-                    continue;
-                }
-                match self.read(line) {
+            // Lists may be indented, so that lines are no measure of where one ends.
+            let mut lists = serde_json::Deserializer::from_slice(&pending).into_iter::<&RawValue>();
+            let whole = loop {
+                let read = match lists.next() {
+                    None => break true,
+                    Some(Err(e)) if e.is_eof() => break false,
+                    Some(list) => list.map_err(Failure::from).and_then(|list| self.read(list.get())),
+                };
+                match read {
                     Ok(news) => tell(news),
                     Err(e) => {
                         // What it said is missing now, a drain perhaps: the whole list is asked for again.
@@ -230,9 +230,16 @@
                         return Err(e);
                     }
                 }
+                last_word = Instant::now();
+            };
+            let rest = pending.split_off(lists.byte_offset());
+            // A blank line between two lists: the watch lives.
+            if whole && rest.contains(&b'\n') {
+                last_word = Instant::now();
             }
-            if pending.len() > LINE_MOST {
-                return Err("a line without an end".into());
+            pending = if whole { BytesMut::new() } else { rest };
+            if pending.len() > LIST_MOST {
+                return Err("a list without an end".into());
             }
         }
         Ok(())
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -207,6 +207,31 @@
     assert_eq!(leaving.seen().len(), 1);
 }
 
+/// Guards the drain rule where lists come indented, in pieces that end anywhere, or one behind another: each counts as
+/// soon as its last byte is here.
+#[test]
+fn an_indented_list_counts_as_soon_as_it_is_whole() {
+    let leaving = Upstream::start(Then::Answer(OK));
+    let (discovery, calls) = discovery();
+    let mut setup = Setup::with(&[leaving.address]);
+    setup.discovery = discovery;
+    let node = setup.start();
+    let mut client = node.connect();
+    assert_eq!(client.exchange(&book(5000, "x")).status(), 200);
+    let (_, watch) = calls.recv_timeout(LONG).expect("a watch");
+    let drains = list(3, false, &[entry("s-0", leaving.address, "Terminating")]);
+    let both = format!("{}\n{drains}", list(2, false, &[])).replace(',', ",\n  ").replace('{', "{\n    ");
+    let (head, tail) = both.split_at(both.len() - 1);
+    for piece in head.as_bytes().chunks(7) {
+        write!(&watch, "{:x}\r\n{}\r\n", piece.len(), std::str::from_utf8(piece).unwrap()).unwrap();
+    }
+    // No line ends behind it.
+    write!(&watch, "{:x}\r\n{tail}\r\n", tail.len()).unwrap();
+    until("its idle connection is closed", || leaving.ended() == 1);
+    assert_eq!(client.exchange(&book(5000, "x")).status(), 503);
+    assert!(calls.try_recv().is_err(), "no list was taken for unreadable");
+}
+
 /// Guards against an upstream being taken for its address: one that has moved is followed.
 #[test]
 fn an_upstream_that_moves_is_followed() {
