Have a broken watch back before what it misses counts as told

Seen on a paused clock: a watch that falls silent just after a word is given up after 3.5 s, a call behind it whose head never comes after 3.5 s more, so that the next begins 7.3 s after the last word; what was missed counts as told after 6 s.

Cause: `Discovery::follow` waits for a head as long as for a word, though who answers is on the same machine, and `Driver::watch` pauses after every watch, however long it has lasted.

Mend: a head may take 1 s, its connection included; watches begin at least 250 ms apart, so that one which has lasted is begun anew at once and one that ends at once is not spun on.

Ruled out: calls to discovery's old address at SIGHUP. The watch's task is ended when the new one begins, in its pause too, and the module asks for no list beside it.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -22,8 +22,9 @@
 /// A watch has a line to say every 2 s. Without one for this long, it is dead, whatever its connection looks
 /// like.
 const SILENCE_MOST: Duration = Duration::from_millis(3500);
-/// How long a connection to discovery may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+/// How long a call may take to its answer's head, its connection included: who answers is on this machine. What an
+/// old watch misses counts as told 6 s after it fell silent: a call in vain has to leave time for another.
+const HEAD_MOST: Duration = Duration::from_millis(1000);
 /// The longest list: more is no list.
 const LIST_MOST: usize = 8 * 1024 * 1024;
 
@@ -173,7 +174,7 @@
     /// Asks for the whole list.
     pub async fn fetch(&self) -> News {
         let read = async {
-            let (_connection, body) = timeout(SILENCE_MOST, self.ask("/registry/instances")).await??;
+            let (_connection, body) = timeout(HEAD_MOST, self.ask("/registry/instances")).await??;
             let body = http_body_util::Limited::new(body, LIST_MOST);
             let text = timeout(SILENCE_MOST, body.collect()).await??.to_bytes();
             let news = self.read(std::str::from_utf8(&text)?)?;
@@ -209,7 +210,7 @@
 
     async fn follow(&self, mut tell: impl FnMut(News)) -> Result<(), Failure> {
         let target = format!("/registry/instances?stream=1&index={}", self.rev.get());
-        let (_connection, mut body) = timeout(SILENCE_MOST, self.ask(&target)).await??;
+        let (_connection, mut body) = timeout(HEAD_MOST, self.ask(&target)).await??;
         let (mut pending, mut last_word) = (BytesMut::new(), Instant::now());
         while let Some(frame) = timeout_at(last_word + SILENCE_MOST, body.frame()).await? {
             let Ok(data) = frame?.into_data() else { continue };
@@ -247,7 +248,7 @@
 
     async fn ask(&self, target: &str) -> Result<(Connection, Incoming), Failure> {
         let address = self.address.get();
-        let mut connection = timeout(CONNECT_TIMEOUT, Connection::open(address, ())).await??;
+        let mut connection = Connection::open(address, ()).await?;
         let request = Request::get(target).header(HOST, address.to_string());
         let response = connection.send(request.body(Full::<Bytes>::default())?).await?;
         if response.status() != StatusCode::OK {
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -18,11 +18,11 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, watch};
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
-/// Pause before a watch that has ended is begun anew unprompted. Short, as what discovery has to tell counts as
-/// told soon, whether it arrived or not; the call costs discovery nothing.
-const WATCH_PAUSE: Duration = Duration::from_millis(250);
+/// Time between the beginnings of two watches that are begun unprompted. One that has lasted is begun anew at once,
+/// as what discovery has to tell counts as told, whether it arrived or not; the call costs discovery nothing.
+const WATCH_EVERY: Duration = Duration::from_millis(250);
 /// How far the module's clock has gone at the start: upstreams may have started before this balancer.
 const BEFORE_START: Duration = Duration::from_secs(3600);
 
@@ -330,12 +330,13 @@
         let driver = Rc::clone(self);
         let watch = spawn_local(async move {
             loop {
+                let begun = Instant::now();
                 driver.discovery.watch(|news| driver.happened(Happening::Fleet(news))).await;
                 if driver.asks {
                     // The module asks again when it sees fit.
                     return driver.happened(Happening::Fleet(News::failed()));
                 }
-                sleep(WATCH_PAUSE).await;
+                sleep_until(begun + WATCH_EVERY).await;
             }
         });
         self.discovery.watched_by(watch.abort_handle());
@@ -436,6 +437,50 @@
         Asked { class, tenant, deadline, work_ms: None, repeat: false, outgoing }
     }
 
+    const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    /// A driver that watches unasked, and discovery's side.
+    async fn watching() -> (Rc<Driver>, TcpListener) {
+        let site = lapisroute_settings::parse(r#"{"classes":[{"name":"look"}]}"#).unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let discovery = Discovery::new(listener.local_addr().unwrap(), site.names.clone());
+        let balancer = Balancer::new(site.settings.clone(), 7).unwrap();
+        let upstreams = Upstreams::new(&site.settings, 8, 0);
+        (Driver::start(balancer, upstreams, discovery, News::failed(), false), listener)
+    }
+
+    async fn call(discovery: &TcpListener) -> TcpStream {
+        let (mut stream, _) = discovery.accept().await.unwrap();
+        assert!(read(&mut stream).await.contains("stream=1"));
+        stream
+    }
+
+    /// Guards against a change that counts as told before it can have come: what a watch misses that falls silent,
+    /// 6 s later, though the next call has no answer; and what comes while one that was reset is begun anew, at once.
+    #[tokio::test(flavor = "local", start_paused = true)]
+    async fn a_watch_is_back_in_time() {
+        let (_driver, discovery) = watching().await;
+        let mut first = call(&discovery).await;
+        first.write_all(HEAD).await.unwrap();
+        first.write_all(b"1\r\n\n\r\n").await.unwrap();
+        let silent = Instant::now();
+        let _mute = call(&discovery).await;
+        let mut third = call(&discovery).await;
+        let back = silent.elapsed();
+        assert!(back < Duration::from_millis(5500), "{back:?}");
+        third.write_all(HEAD).await.unwrap();
+        sleep(WATCH_EVERY).await;
+        drop(third);
+        let reset = Instant::now();
+        call(&discovery).await;
+        let back = reset.elapsed();
+        assert!(back < Duration::from_millis(50), "{back:?}");
+        // One that ends as soon as it has begun is not begun without a pause.
+        let ended = Instant::now();
+        call(&discovery).await;
+        assert!(ended.elapsed() >= WATCH_EVERY - Duration::from_millis(50));
+    }
+
     async fn read(stream: &mut TcpStream) -> String {
         let mut text = [0; 1024];
         let n = stream.read(&mut text).await.unwrap();
