Keep no connection to an upstream's old process after it restarts in place

Seen: an upstream restarts at its address, as `boot_ms` tells, while an answer of the old process is out: the connection is kept as idle once it has come, and the next request goes to the old process, or to nobody.

Checked: an id that leaves and returns is another `Upstream`, and the attempts of the first, waiting or out, send and keep nothing more (`ready` of theirs is cleared for good); one that moves is told by its endpoint.

Cause: `put_back` looked at the endpoint alone. `place` closes the idle connections, not those in use.

Mend: the start that was listed when a connection was asked for has to be the one that stands when it is put back.

--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -169,8 +169,10 @@
         self.pool.sweep().await;
     }
 
-    fn put_back(&self, id: UpstreamId, upstream: &Upstream, connection: Connection) {
-        if upstream.ready.get() && upstream.endpoint.get() == Some(connection.peer()) {
+    /// Keeps a connection for later, unless it leads to a process, that of `boot_ms`, which is no more.
+    fn put_back(&self, id: UpstreamId, upstream: &Upstream, boot_ms: u64, connection: Connection) {
+        let same = upstream.boot_ms.get() == boot_ms && upstream.endpoint.get() == Some(connection.peer());
+        if upstream.ready.get() && same {
             self.pool.put(id, connection);
         }
     }
@@ -221,6 +223,7 @@
         let upstream = self.known.borrow().get(&id).map(Rc::clone);
         let Some(upstream) = upstream else { return Outcome::NotSent.into() };
         loop {
+            let boot_ms = upstream.boot_ms.get();
             let got = tokio::select! {
                 biased;
                 _ = awaited.changed() => Err(Outcome::NotSent),
@@ -233,7 +236,7 @@
             let left = give_up.saturating_duration_since(Instant::now());
             // The moment of writing: it may have begun to drain while the connection was made.
             if !upstream.ready.get() || left.is_zero() {
-                self.put_back(id, &upstream, connection);
+                self.put_back(id, &upstream, boot_ms, connection);
                 return Outcome::NotSent.into();
             }
             let request = request(outgoing, left);
@@ -258,7 +261,7 @@
                 Ok(Ok(response)) => {
                     // An answer that came before the request had left whole leaves the rest in the way.
                     if written >= length {
-                        self.put_back(id, &upstream, connection);
+                        self.put_back(id, &upstream, boot_ms, connection);
                     }
                     return self.answered(response);
                 }
@@ -543,6 +546,25 @@
         }
     }
 
+    /// Guards against the connections of a process that is no more: of one that restarts at its address while an
+    /// answer is out, the old connection is not kept, as its end may never be seen.
+    #[tokio::test(flavor = "local")]
+    async fn a_restart_at_the_same_address_leaves_no_old_connection() {
+        let (upstreams, listener, mut place) = upstreams(8).await;
+        for boot_ms in [0, 5, 5] {
+            let (held, before) = (Rc::clone(&upstreams), place.boot_ms);
+            let sent = spawn_local(async move { attempt(&held, ID, &outgoing()).await });
+            let (mut stream, _) = listener.accept().await.unwrap();
+            assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+            place.boot_ms = boot_ms;
+            upstreams.place(ID, &place);
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+            assert_eq!(sent.await.unwrap().outcome, Outcome::Ok);
+            let kept = upstreams.pool.take(ID);
+            assert_eq!(kept.is_some(), boot_ms == before, "from {before} to {boot_ms}");
+        }
+    }
+
     /// Guards against work for nobody where the settings allow no cancelling: what waits for a connection, or is
     /// still on its way out, when its client goes is not sent; what has left whole is waited for.
     #[tokio::test(flavor = "local")]
