Answer the requests that cross the close of their connections

Seen: with requests in the kernel's buffer at the moment in which the process closes (Phase::Closing), one on a connection in use ends with no answer, and connections not accepted yet are reset, whole requests on them.

Checked: what waits for a place (it is served once it has one, as before), requests held (`finish` waits for them).

Cause: `Server::connection` shuts a connection down that it has not looked at since the request came, at the close and where it makes room or its time is over; `Server::run` drops the listener with what waits in its queue.

Mend: a connection that is to end is polled once more after the runtime has asked the kernel, and shut down by what it is then; what waits to be accepted is accepted until there is nothing more.

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -16,13 +16,15 @@
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Instant, sleep, timeout};
 
 /// How long a connection that is to end may take over the rest of an answer.
@@ -73,11 +75,17 @@
     /// them has gone.
     pub async fn run(self: Rc<Self>, listener: TcpListener, most: usize) {
         let places = Arc::new(Semaphore::new(most));
-        let mut phase = self.phase.clone();
+        let (mut phase, mut closing) = (self.phase.clone(), false);
         loop {
             let accepted = tokio::select! {
+                biased;
+                _ = phase.wait_for(|p| *p == Phase::Closing), if !closing => {
+                    closing = true;
+                    continue;
+                }
                 accepted = listener.accept() => accepted,
-                _ = phase.wait_for(|p| *p == Phase::Closing) => break,
+                // Those that wait to be accepted may have sent their requests; there are no more of them.
+                () = yield_now(), if closing => break,
             };
             let stream = match accepted {
                 Ok((stream, _)) => stream,
@@ -136,18 +144,22 @@
         tokio::pin!(connection);
         let ended = tokio::select! {
             ended = connection.as_mut() => ended,
-            // Part of a request at most: nothing was taken.
-            () = client.is_to_end() => match client.stand() {
-                Stand::New | Stand::Reading => Ok(()),
-                Stand::Idle | Stand::Held => {
+            () = client.is_to_end() => match (catch_up(connection.as_mut()).await, client.stand()) {
+                (Poll::Ready(ended), _) => ended,
+                // Part of a request at most: nothing was taken.
+                (Poll::Pending, Stand::New | Stand::Reading) => Ok(()),
+                (Poll::Pending, Stand::Idle | Stand::Held) => {
+                    connection.as_mut().graceful_shutdown();
+                    finish(&client, connection).await
+                }
+            },
+            _ = phase.wait_for(|p| *p == Phase::Closing) => match catch_up(connection.as_mut()).await {
+                Poll::Ready(ended) => ended,
+                Poll::Pending => {
                     connection.as_mut().graceful_shutdown();
                     finish(&client, connection).await
                 }
             },
-            _ = phase.wait_for(|p| *p == Phase::Closing) => {
-                connection.as_mut().graceful_shutdown();
-                finish(&client, connection).await
-            }
         };
         if let Err(e) = ended {
             tracing::debug!("client: {e}");
@@ -191,6 +203,16 @@
     }
 }
 
+/// Takes in what the kernel has of a connection that is to end: a request that lies there whole has been taken, and
+/// would be lost with it.
+async fn catch_up(
+    mut connection: Pin<&mut impl Future<Output = hyper::Result<()>>>,
+) -> Poll<hyper::Result<()>> {
+    // The runtime asks the kernel before this goes on.
+    yield_now().await;
+    poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx))).await
+}
+
 /// Waits for the answer that a connection which shuts down is still owed, or that is on its way to a client
 /// who reads slowly. Between requests such a connection ends at once.
 async fn finish(
@@ -320,6 +342,42 @@
         assert!(next.contains("stays"), "{next:?}");
     }
 
+    /// Guards what was taken at the last moment: requests that lie in the kernel when the process closes, on a
+    /// connection in use or on one that is not accepted yet, have their answers.
+    #[tokio::test(flavor = "local")]
+    async fn requests_that_cross_the_close_are_answered() {
+        const LIVE: &[u8] = b"GET /health/live HTTP/1.1\r\nHost: app.svc\r\n\r\n";
+        let site = lapisroute_settings::parse(r#"{"classes":[{"name":"look"}]}"#).unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let upstreams = Upstreams::new(&site.settings, 8, 0);
+        let discovery = Discovery::new(address, site.names.clone());
+        let balancer = Balancer::new(site.settings.clone(), 7).unwrap();
+        let driver = Driver::start(balancer, upstreams, discovery, News::failed(), true);
+        let (phase, phases) = watch::channel(Phase::Leaving);
+        let serving = spawn_local(Server::new(driver, &site, phases).run(listener, 8));
+        let mut used = TcpStream::connect(address).await.unwrap();
+        used.write_all(LIVE).await.unwrap();
+        assert!(used.read(&mut [0; 1024]).await.unwrap() > 0);
+        // No task runs between these.
+        assert_eq!(used.try_write(LIVE).unwrap(), LIVE.len());
+        let new: Vec<_> = (0..3).map(|_| std::net::TcpStream::connect(address).unwrap()).collect();
+        new.iter().for_each(|mut stream| std::io::Write::write_all(&mut stream, LIVE).unwrap());
+        phase.send_replace(Phase::Closing);
+        let mut all = vec![used];
+        for stream in new {
+            stream.set_nonblocking(true).unwrap();
+            all.push(TcpStream::from_std(stream).unwrap());
+        }
+        for (k, stream) in all.iter_mut().enumerate() {
+            let mut answer = Vec::new();
+            let ended = stream.read_to_end(&mut answer).await;
+            assert!(ended.is_ok(), "{k}: {ended:?}");
+            assert!(answer.starts_with(b"HTTP/1.1 200"), "{k}: {:?}", String::from_utf8_lossy(&answer));
+        }
+        serving.await.unwrap();
+    }
+
     /// Guards an answer on its way to a client who reads slowly: the end of its connection waits for it.
     #[tokio::test(flavor = "local")]
     async fn an_answer_on_its_way_is_finished() {
