Follow discovery again within 6 s, whatever failed before

Ruled out: calls that are refused, have no head or another status. They fail within 1 s and cost one wait.

The waits in the module are held to 1 s for the first call and 3 s after one in vain. A watch has a line to say every 2 s, so that 2.5 s without one tell as much as 3.5 s: 2.5 and 2.5 s for two silent ones leave time for a third.

Tests: `a_list_service_that_is_back_is_asked_in_time` (without the mend: call 5 comes over 5.7 s after the one before) and `discovery_is_followed_in_time_whatever_failed_before` (7 s after it fell silent). The making of a listed upstream moved to src/state.rs, as it decides nothing.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -19,11 +19,12 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
-/// A watch has a line to say every 2 s. Without one for this long, it is dead, whatever its connection looks
-/// like.
-const SILENCE_MOST: Duration = Duration::from_millis(3500);
-/// How long a call may take to its answer's head, its connection included: who answers is on this machine. What an
-/// old watch misses counts as told 6 s after it fell silent: a call in vain has to leave time for another.
+/// A watch has a line to say every 2 s. Without one for this long, its first included, it is dead, whatever its
+/// connection looks like. What it misses counts as told 6 s after it fell silent: there has to be time to find that
+/// out, to find the same of the next one, and for a third.
+const SILENCE_MOST: Duration = Duration::from_millis(2500);
+/// How long a call may take to its answer's head, its connection included: who answers is on this machine. A call in
+/// vain has to leave time for another.
 const HEAD_MOST: Duration = Duration::from_millis(1000);
 /// The longest list: more is no list.
 const LIST_MOST: usize = 8 * 1024 * 1024;
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -441,12 +441,55 @@
 
     /// A driver that watches unasked, and discovery's side.
     async fn watching() -> (Rc<Driver>, TcpListener) {
-        let site = lapisroute_settings::parse(r#"{"classes":[{"name":"look"}]}"#).unwrap();
+        following("automatic").await
+    }
+
+    /// The same where the settings say that the list comes in this way.
+    async fn following(discovery: &str) -> (Rc<Driver>, TcpListener) {
+        let asking = format!(r#""discovery":"{discovery}","guarantees":{{"ask_every_ms":60000}}"#);
+        let site =
+            lapisroute_settings::parse(&format!(r#"{{"classes":[{{"name":"look"}}],{asking}}}"#)).unwrap();
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let discovery = Discovery::new(listener.local_addr().unwrap(), site.names.clone());
         let balancer = Balancer::new(site.settings.clone(), 7).unwrap();
         let upstreams = Upstreams::new(&site.settings, 8, 0);
-        (Driver::start(balancer, upstreams, discovery, News::failed(), false), listener)
+        let asks = site.settings.ask_for_fleet;
+        (Driver::start(balancer, upstreams, discovery, News::failed(), asks), listener)
+    }
+
+    /// Guards against a change that counts as told before it can have come, both where lists are pushed and where they
+    /// are asked for: discovery had it when it was called in vain, in any way, and is followed again within 6 s.
+    #[tokio::test(flavor = "local", start_paused = true)]
+    async fn discovery_is_followed_in_time_whatever_failed_before() {
+        for way in ["automatic", "subscribe"] {
+            let (_driver, discovery) = following(way).await;
+            // One that is followed falls silent, and so does the next, behind its head.
+            let mut first = call(&discovery).await;
+            first.write_all(HEAD).await.unwrap();
+            first.write_all(b"22\r\n{\"rev\":1,\"all\":true,\"targets\":[]}\n\r\n").await.unwrap();
+            let silent = Instant::now();
+            let mut second = call(&discovery).await;
+            second.write_all(HEAD).await.unwrap();
+            let _third = call(&discovery).await;
+            let back = silent.elapsed();
+            assert!(back < Duration::from_millis(5900), "{way}: {back:?} after it fell silent");
+            // Calls in vain, of all kinds and many of them, until the longest wait is reached.
+            for k in 0..24 {
+                let begun = Instant::now();
+                let mut vain = call(&discovery).await;
+                let back = begun.elapsed();
+                assert!(back < Duration::from_millis(5900), "{way}, {k}: {back:?} after the one before");
+                let said = match k % 4 {
+                    0 => continue,
+                    1 => b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+                    2 => HEAD,
+                    _ => b"",
+                };
+                vain.write_all(said).await.unwrap();
+                // It stays open until this side is told of its end.
+                spawn_local(async move { read(&mut vain).await });
+            }
+        }
     }
 
     async fn call(discovery: &TcpListener) -> TcpStream {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -110,6 +110,11 @@
 const IDLE: f64 = 0.3;
 const REAP_KEPT: f64 = 15.0;
 
+/// The longest waits, in seconds, for the first call to discovery and for the next after one in vain: a
+/// change counts as told 6 s after it could be had, and one that fails late and the next need time too.
+const ASK_FIRST_MOST: f64 = 1.0;
+const ASK_WAIT_MOST: f64 = 3.0;
+
 /// The timer of the tick.
 const TICK_TIMER: TimerId = TimerId(0);
 
@@ -199,7 +204,7 @@
         (self.now, self.at) = (now, at);
         if !std::mem::replace(&mut self.ticking, true) {
             self.last_tick = at;
-            self.ask_at = at + self.set.ask_every.as_secs_f64() * 0.1 * self.rng.f64();
+            self.ask_at = at + (self.set.ask_every.as_secs_f64() * 0.1).min(ASK_FIRST_MOST) * self.rng.f64();
             let after = Duration::from_secs_f64(TICK * self.rng.f64());
             self.out.push(Action::Timer { after, timer: TICK_TIMER });
         }
@@ -753,7 +758,7 @@
     fn fleet(&mut self, scope: FleetScope, listed: &[Listed]) {
         if scope == FleetScope::Failed {
             // Doubling, jittered waits: a list service that was down must not meet all at once.
-            let longest = self.set.ask_every.as_secs_f64() * 0.8;
+            let longest = (self.set.ask_every.as_secs_f64() * 0.8).min(ASK_WAIT_MOST);
             let wait = (longest / 16.0) * f64::from(1u32 << self.ask_failures.min(4));
             self.ask_failures += 1;
             self.watching = false;
@@ -775,16 +780,8 @@
             let j = *self.index.entry(l.id).or_insert_with(|| {
                 // A newcomer to a list already known has just started, whatever the list says.
                 let started = started.or((!first).then_some(self.at));
-                self.ring.push(Upstream {
-                    health: vec![Health::default(); self.classes.len()],
-                    id: l.id,
-                    started,
-                    leave: self.rng.f64(),
-                    capacity: 1.0,
-                    alive_at: f64::NEG_INFINITY,
-                    fresh: !first,
-                    ..Upstream::default()
-                });
+                let u = Upstream::new(l.id, started, self.classes.len());
+                self.ring.push(Upstream { leave: self.rng.f64(), fresh: !first, ..u });
                 grown = true;
                 self.ring.len() - 1
             });
--- a/src/state.rs
+++ b/src/state.rs
@@ -33,6 +33,14 @@
     pub(crate) leave: f64,          // turns that a cold one may take
 }
 
+impl Upstream {
+    /// One of which nothing is known but its id and start.
+    pub(crate) fn new(id: UpstreamId, started: Option<f64>, classes: usize) -> Self {
+        let health = vec![Health::default(); classes];
+        Self { id, started, health, capacity: 1.0, alive_at: f64::NEG_INFINITY, ..Self::default() }
+    }
+}
+
 /// What one class has met at one upstream.
 #[derive(Clone, Default)]
 pub(crate) struct Health {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -238,6 +238,33 @@
     assert!(bench.at(id, 0).is_some());
 }
 
+/// Guards against a change that counts as told before it has come, 6 s after discovery had it and could be reached: however
+/// often it was called in vain before, and however seldom the settings have it asked, calls are never so far apart
+/// that one which fails late, the wait after it and the next one together take that long.
+#[test]
+fn a_list_service_that_is_back_is_asked_in_time() {
+    for ask_every in [2_000, 10_000, 60_000] {
+        let ask_every = ms(ask_every);
+        let settings = Settings { ask_for_fleet: true, ask_every, ..settings(Effect::Idempotent) };
+        let mut bench = Bench::new(settings, &fleet(2));
+        let mut begun = bench.now;
+        for k in 0..40 {
+            while bench.list_calls.len() == k {
+                bench.run(ms(10));
+                assert!(
+                    bench.now - begun < ms(5_700),
+                    "call {k} after {ask_every:?}: {:?}",
+                    bench.now - begun
+                );
+            }
+            // Half of them fail at once, half after a head with no word behind it.
+            begun = bench.now;
+            bench.run(ms(if k % 2 == 0 { 2_500 } else { 1 }));
+            bench.tell(Event::Fleet { scope: FleetScope::Failed, listed: &[] });
+        }
+    }
+}
+
 /// Reports full of nonsense neither panic nor poison what is known.
 #[test]
 fn bad_reports_are_passed_over() {
