See that a client has left though it has sent more behind its request

Seen, by a test with real sockets: a client sends one byte behind its request and leaves while the first attempt is out. The upstream turns that attempt away 0.1 s later, and a further one goes out to the other upstream. Cause: hyper looks for a connection's end in the middle of a request only while its own buffer is empty (`mid_message_detect_eof`), and `Server::connection` (node/src/server.rs) left the look to hyper alone. Ruled out by the same test: a client that leaves while this balancer closes and has sent nothing behind its request; hyper goes on looking then, and nothing follows.

`left` (node/src/client.rs) takes in what lies behind a request that is owed its answer, up to 64 KiB, and ends the connection at the end of the stream; hyper reads those bytes afterwards. Beyond 64 KiB the system's word that the peer has shut down counts. What does not fit into the receive window comes before the end of the stream and hides it.

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -1,15 +1,18 @@
 //! One client's connection: how far it has come, and what its bytes tell before a request is made of them.
 
-use std::cell::Cell;
+use bytes::BytesMut;
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
 use std::io;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 /// The longest time from the connection, or from a later request's first byte, to the request's last byte.
 pub const READ_MOST: Duration = Duration::from_secs(2);
@@ -22,6 +25,12 @@
 /// A connection idle for longer may be closed at will.
 const SPARE: Duration = Duration::from_secs(2);
 
+/// Between two looks for the end of a client's connection where bytes lie on it: no attempt may begin over 0.1 s
+/// after that.
+const LEFT_EVERY: Duration = Duration::from_millis(40);
+/// What is taken in behind a request, as much as the longest body: no client sends more, nor any of it.
+const AHEAD_MOST: usize = 64 * 1024;
+
 /// How far a connection has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stand {
@@ -48,6 +57,8 @@
     lengths: Cell<u64>,
     accounted: Cell<u64>,
     matched: Cell<usize>,
+    /// What came behind a request that is owed its answer, not yet read by hyper.
+    ahead: RefCell<BytesMut>,
     /// Told when it is to make room.
     close: Notify,
     closing: Cell<bool>,
@@ -68,6 +79,7 @@
             lengths: Cell::new(0),
             accounted: Cell::new(0),
             matched: Cell::new(0),
+            ahead: RefCell::default(),
             close: Notify::new(),
             closing: Cell::new(false),
         }
@@ -208,53 +220,106 @@
 
 /// A client's stream, looked at as it is read.
 pub struct Inbound {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     client: Rc<Client>,
 }
 
 impl Inbound {
     /// The stream of this client.
-    pub fn new(stream: TcpStream, client: Rc<Client>) -> Self {
+    pub fn new(stream: Rc<TcpStream>, client: Rc<Client>) -> Self {
         Self { stream, client }
     }
 }
 
 impl AsyncRead for Inbound {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let mut ahead = self.client.ahead.borrow_mut();
+        if !ahead.is_empty() {
+            let most = ahead.len().min(buf.remaining());
+            let taken = ahead.split_to(most);
+            buf.put_slice(&taken);
+            self.client.came(&taken);
+            return Poll::Ready(Ok(()));
+        }
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
+                Ok(n) => {
+                    buf.advance(n);
+                    let filled = buf.filled();
+                    self.client.came(&filled[filled.len() - n..]);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+}
+
+impl Inbound {
+    /// Writes once the kernel takes something.
+    fn poll_once_writable(
+        &self,
         cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        self.client.came(&buf.filled()[before..]);
-        Poll::Ready(Ok(()))
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match write(&self.stream) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
     }
 }
 
 impl AsyncWrite for Inbound {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_once_writable(cx, |stream| stream.try_write(buf))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        self.poll_once_writable(cx, |stream| stream.try_write_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
+    }
+}
+
+/// Waits until a client that is owed an answer has closed its connection. hyper does not look for that while bytes
+/// lie behind the request: they are taken in here.
+pub async fn left(stream: &TcpStream, client: &Client) {
+    let mut chunk = [0; 4096];
+    loop {
+        let Ok(ready) = stream.ready(Interest::READABLE).await else { return };
+        let full = client.ahead.borrow().len() >= AHEAD_MOST;
+        if client.stand() == Stand::Held && !full {
+            match stream.try_read(&mut chunk) {
+                Ok(0) => return,
+                Ok(n) => client.ahead.borrow_mut().extend_from_slice(&chunk[..n]),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        } else if client.stand() == Stand::Held && ready.is_read_closed() {
+            return;
+        } else {
+            // What lies there is for hyper to read, or for nobody as yet.
+            sleep(LEFT_EVERY).await;
+        }
     }
 }
 
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -1,6 +1,6 @@
 //! The clients' side: accepts connections, reads requests, writes final answers.
 
-use crate::client::{Client, Inbound, Stand};
+use crate::client::{Client, Inbound, Stand, left};
 use crate::driver::{Answer, Asked, Driver};
 use crate::requests::{OpenId, Requests, Unfit};
 use crate::seldom::Seldom;
@@ -139,27 +139,35 @@
         let mut builder = http1::Builder::new();
         // The head's time is the client's own affair, see `Client::overdue`.
         builder.header_read_timeout(None).max_buf_size(BUFFER);
-        let inbound = Inbound::new(stream, Rc::clone(&client));
+        let stream = Rc::new(stream);
+        let inbound = Inbound::new(Rc::clone(&stream), Rc::clone(&client));
         let connection = builder.serve_connection(TokioIo::new(inbound), service);
         tokio::pin!(connection);
+        let served = async {
+            tokio::select! {
+                ended = connection.as_mut() => ended,
+                () = client.is_to_end() => match (catch_up(connection.as_mut()).await, client.stand()) {
+                    (Poll::Ready(ended), _) => ended,
+                    // Part of a request at most: nothing was taken.
+                    (Poll::Pending, Stand::New | Stand::Reading) => Ok(()),
+                    (Poll::Pending, Stand::Idle | Stand::Held) => {
+                        connection.as_mut().graceful_shutdown();
+                        finish(&client, connection).await
+                    }
+                },
+                _ = phase.wait_for(|p| *p == Phase::Closing) => match catch_up(connection.as_mut()).await {
+                    Poll::Ready(ended) => ended,
+                    Poll::Pending => {
+                        connection.as_mut().graceful_shutdown();
+                        finish(&client, connection).await
+                    }
+                },
+            }
+        };
         let ended = tokio::select! {
-            ended = connection.as_mut() => ended,
-            () = client.is_to_end() => match (catch_up(connection.as_mut()).await, client.stand()) {
-                (Poll::Ready(ended), _) => ended,
-                // Part of a request at most: nothing was taken.
-                (Poll::Pending, Stand::New | Stand::Reading) => Ok(()),
-                (Poll::Pending, Stand::Idle | Stand::Held) => {
-                    connection.as_mut().graceful_shutdown();
-                    finish(&client, connection).await
-                }
-            },
-            _ = phase.wait_for(|p| *p == Phase::Closing) => match catch_up(connection.as_mut()).await {
-                Poll::Ready(ended) => ended,
-                Poll::Pending => {
-                    connection.as_mut().graceful_shutdown();
-                    finish(&client, connection).await
-                }
-            },
+            biased;
+            ended = served => ended,
+            () = left(&stream, &client) => Ok(()),
         };
         if let Err(e) = ended {
             tracing::debug!("client: {e}");
@@ -342,6 +350,69 @@
         assert!(next.contains("stays"), "{next:?}");
     }
 
+    /// Guards against work for nobody: no attempt begins, first or further, for a client that has left, though bytes lie
+    /// behind its request, also while this balancer closes.
+    #[tokio::test(flavor = "local")]
+    async fn a_client_that_sends_more_behind_its_request_and_leaves_is_not_sent_on() {
+        let class = r#"{"name":"look","aim_ms":60000,"hard_limit_ms":60000,"effect":"idempotent"}"#;
+        let rest = r#""limits":{"cancelling":false},"parties":[{"name":"acme","allowance_per_s":1000.0}]"#;
+        let site = lapisroute_settings::parse(&format!(r#"{{"classes":[{class}],{rest}}}"#)).unwrap();
+        for (closing, more) in [(false, 1), (true, 0), (true, 1), (false, 60 * 1024), (true, 60 * 1024)] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let peers = [
+                TcpListener::bind("127.0.0.1:0").await.unwrap(),
+                TcpListener::bind("127.0.0.1:0").await.unwrap(),
+            ];
+            let entries = peers.iter().enumerate().map(|(k, peer)| {
+                format!(r#"{{"uid":"s-{k}","endpoint":"{}","state":"Ready"}}"#, peer.local_addr().unwrap())
+            });
+            let entries: Vec<_> = entries.collect();
+            let discovery = Discovery::new(address, site.names.clone());
+            let known =
+                discovery.known(&format!(r#"{{"rev":1,"all":true,"targets":[{}]}}"#, entries.join(",")));
+            let balancer = Balancer::new(site.settings.clone(), 7).unwrap();
+            let upstreams = Upstreams::new(&site.settings, 8, 0);
+            let driver = Driver::start(balancer, upstreams, discovery, known, true);
+            let (phase, phases) = watch::channel(Phase::Serving);
+            spawn_local(Server::new(driver, &site, phases).run(listener, 8));
+            let ask = async |id: &str, more: usize| {
+                let mut client = TcpStream::connect(address).await.unwrap();
+                let head =
+                    "GET /look HTTP/1.1\r\nHost: app.svc\r\nX-Account: acme\r\nX-Time-Left-Ms: 60000\r\n";
+                let request = format!("{head}X-Correlation-Id: {id}\r\n\r\n{}", "x".repeat(more));
+                client.write_all(request.as_bytes()).await.unwrap();
+                client
+            };
+            let accept = async || {
+                tokio::select! {
+                    stream = peers[0].accept() => stream.unwrap().0,
+                    stream = peers[1].accept() => stream.unwrap().0,
+                }
+            };
+            // One that leaves once its first attempt is out, and one that leaves with its request.
+            let leaves = ask("first", more).await;
+            let (mut first, mut request) = (accept().await, [0; 1024]);
+            assert!(first.read(&mut request).await.unwrap() > 0);
+            if closing {
+                phase.send_replace(Phase::Closing);
+                yield_now().await;
+            } else {
+                drop(ask("second", more).await);
+            }
+            drop(leaves);
+            sleep(Duration::from_millis(100)).await;
+            // The first attempt ends so that another could follow.
+            first
+                .write_all(b"HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
+                .await
+                .unwrap();
+            let further = timeout(Duration::from_millis(200), accept()).await;
+            let reused = timeout(Duration::from_millis(10), first.read(&mut request)).await;
+            assert!(further.is_err() && !matches!(reused, Ok(Ok(1..))), "closing {closing}, {more} more");
+        }
+    }
+
     /// Guards what was taken at the last moment: requests that lie in the kernel when the process closes, on a
     /// connection in use or on one that is not accepted yet, have their answers.
     #[tokio::test(flavor = "local")]
