Eject an upstream for all classes when none of them was answered there

Half of the upstreams are jammed from 12 to 16 s while the others answer in 40 ms. One of them, from 18.1 to 21 s:

18.204 0.416 Cancelled n270:343 18.206 0.002 Rejected n52:348 18.207 0.548 Cancelled n234:353 18.572 0.002 Rejected n120:317 18.665 0.829 Cancelled n10:1115 18.703 0.002 Rejected n205:309 19.324 0.436 Cancelled n205:318 20.173 0.569 Cancelled n205:325

It is full though some 6 requests a second get in, where it did 18 before: crowded it is slow, and 20 balancers keep it crowded. `learn` (src/choice.rs) counted faults by class, so that each balancer spent two requests of each class.

Faults in a row at one upstream, of whichever class, now eject it for all; an answer to any class ends the row.

Test: `a_jammed_upstream_is_left_alone_by_all_classes_at_once`; without the mend it meets 4 requests instead of 2.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -66,7 +66,8 @@
 /// Seconds over which what was learned of one upstream fades, and answers it takes to believe it.
 const PACE_KEPT: f64 = 10.0;
 const PACE_DOUBT: f64 = 4.0;
-/// Faults in a row after which an upstream is ejected for the class that met them ...
+/// Faults in a row after which an upstream is ejected for the class that met them, or for all where none was
+/// answered meanwhile: what each balancer and class sends to find a jam out keeps it jammed ...
 const FAULTS: u32 = 2;
 /// ... or one, where the class had no answer there for these seconds while others answer it within this
 /// share of its aim: not so under overload, when all are slow and leaving some makes it worse.
@@ -252,9 +253,7 @@
         let lasts = c.late_worth > 0.0 || c.aim_stretch > 0.0 || c.streamed;
         let aim = self.at + AIM_LEFT * c.aim.as_secs_f64();
         let worth_until = if lasts { deadline } else { deadline.min(aim) };
-        let (attempts, ended, streaming) = (Vec::new(), false, false);
-        let request = Request { class, worth_until, deadline, attempts, ended, streaming };
-        self.requests.insert(id, request);
+        self.requests.insert(id, Request { class, worth_until, deadline, ..Request::default() });
         self.send(id, turn);
     }
 
@@ -642,8 +641,7 @@
 
     /// What one outcome tells of its upstream, its class and the fleet.
     fn learn(&mut self, id: UpstreamId, class: usize, outcome: Outcome, latency: f64, way: (bool, f64)) {
-        let (overdue, idle) = way;
-        let aim = self.set.classes[class].aim.as_secs_f64();
+        let ((overdue, idle), aim) = (way, self.set.classes[class].aim.as_secs_f64());
         let learned = &mut self.classes[class];
         let ratio = latency / learned.latency.max(1e-6);
         let ok = outcome == Outcome::Ok;
@@ -664,18 +662,16 @@
         }
         // Silence on idle connections, not on those in use, is laid to the way there: something drops them
         // unseen. They are closed before use. Harm where that is wrong: a handshake a use, for a while.
-        let silent = &mut self.silent;
         if ok || slow {
-            let share = &mut silent[usize::from(idle > IDLE)];
+            let share = &mut self.silent[usize::from(idle > IDLE)];
             *share += 0.2 * (f64::from(u8::from(slow)) - *share);
         }
-        if slow && idle > IDLE && silent[1] > 0.3 && silent[1] > 2.0 * silent[0] {
+        if slow && idle > IDLE && self.silent[1] > 0.3 && self.silent[1] > 2.0 * self.silent[0] {
             let before = if self.at < self.reap_until { self.reap } else { f64::INFINITY };
             (self.reap, self.reap_until) = (before.min(idle / 2.0).max(IDLE), self.at + REAP_KEPT);
         }
-        let out = self.turns.iter().filter(|j| self.ring[**j].health[class].ejected).count() + 1;
-        let out = out as f64 <= EJECTED_MOST * self.turns.len() as f64;
-        let Some(u) = self.index.get(&id).map(|j| &mut self.ring[*j]) else { return };
+        let Some(&j) = self.index.get(&id) else { return };
+        let u = &mut self.ring[j];
         u.used_at = self.at;
         u.in_flight = u.in_flight.saturating_sub(1);
         u.overdue = u.overdue.saturating_sub(u32::from(overdue));
@@ -686,7 +682,7 @@
         }
         let (h, l) = (&mut u.health[class], &mut self.classes[class]);
         if ok {
-            (h.faults, h.answered) = (0, self.at);
+            (h.faults, h.answered, u.faults) = (0, self.at, 0);
             if !overdue {
                 u.ejections = 0;
                 if std::mem::take(&mut h.ejected) {
@@ -719,19 +715,28 @@
                 (u.held, u.held_at) = (u.held.max(2.0 * OVERDUE_HELD), self.at);
                 h.faults += 1;
             }
-            Outcome::Error => h.faults += 1,
-            Outcome::TimedOut | Outcome::Cancelled if overdue => h.faults += 1,
-            _ => {}
+            _ => h.faults += u32::from(slow || outcome == Outcome::Error),
         }
+        u.faults += u32::from(slow || outcome == Outcome::Rejected);
         let quick = self.at - h.answered > HEARD_OF && l.answers < QUICK * aim;
-        if !h.ejected && out && (h.faults >= FAULTS || (quick && h.faults > 0 && outcome != Outcome::Error)) {
+        let ill = h.faults >= FAULTS || (quick && h.faults > 0 && outcome != Outcome::Error);
+        let all = u.faults >= FAULTS;
+        (0..self.classes.len()).filter(|k| all || (ill && *k == class)).for_each(|k| self.eject(j, k));
+        // Where the fault is the upstream's own, it says nothing of the room elsewhere.
+        let u = &mut self.ring[j];
+        u.ghosts += f64::from(u8::from(slow && !u.health[class].ejected));
+    }
+
+    /// Ejects an upstream for a class, unless too many are.
+    fn eject(&mut self, upstream: usize, class: usize) {
+        let out = self.turns.iter().filter(|j| self.ring[**j].health[class].ejected).count() + 1;
+        let (h, l) = (&mut self.ring[upstream].health[class], &mut self.classes[class]);
+        if !h.ejected && out as f64 <= EJECTED_MOST * self.turns.len() as f64 {
             (h.faults, h.ejected, h.tried) = (0, true, self.at);
             if l.trial_at <= self.at {
                 (l.trials, l.trial_at) = (0, self.at + EJECT * (0.75 + 0.5 * self.rng.f64()));
             }
         }
-        // Where the fault is the upstream's own, it says nothing of the room elsewhere.
-        u.ghosts += f64::from(u8::from(slow && !h.ejected));
     }
 
     fn report(&mut self, id: UpstreamId, report: &[f32]) {
@@ -805,7 +810,7 @@
             if let Some(s) = started.filter(fresh) {
                 // It has restarted: what was held against it is void, and it is cold.
                 u.started = Some(s);
-                (u.ejections, u.ejected_until, u.leave) = (0, 0.0, self.rng.f64());
+                (u.ejections, u.ejected_until, u.faults, u.leave) = (0, 0.0, 0, self.rng.f64());
                 u.health.fill(Health::default());
                 (u.fresh, changed) = (true, true);
             }
@@ -825,10 +830,10 @@
     }
 
     /// Chooses who takes turns: all that are ready, or a subset where one balancer sees too little to keep a
-    /// connection to each in use and to learn what it needs of each. Balancers that share a shuffled order
-    /// of the ids get neighbouring parts of it, so that each upstream is in about as many subsets as any
-    /// other. Guards against upstreams that run out of connections and against judging by stale news; who is
-    /// ejected is replaced by the next in the order. Harm: fewer to choose from.
+    /// connection to each in use and to learn what it needs of each. Balancers that share a shuffled order of
+    /// the ids get neighbouring parts, so that each upstream is in about as many subsets as any other. Guards
+    /// against upstreams out of connections and against judging by stale news; who is ejected is replaced by
+    /// the next in the order. Harm: fewer to choose from.
     fn choose_subset(&mut self) {
         let mut order: Vec<usize> = (0..self.ring.len()).filter(|j| self.ring[*j].ready).collect();
         // Few balancers take more each: every upstream is in several subsets, and one alone takes all.
--- a/src/state.rs
+++ b/src/state.rs
@@ -21,6 +21,7 @@
     pub(crate) held_at: f64,
     pub(crate) pace: f64,     // mean of latency over what is usual for the class
     pub(crate) seen: f64,     // answers behind it, fading
+    pub(crate) faults: u32,   // in a row, of whichever class
     pub(crate) breaks: u32,   // connections broken since the last answer
     pub(crate) alive_at: f64, // of that answer, whatever it was
     pub(crate) ejections: u32,
@@ -64,6 +65,7 @@
 }
 
 /// A request held, or ended with attempts still out.
+#[derive(Default)]
 pub(crate) struct Request {
     pub(crate) class: usize,
     pub(crate) worth_until: f64, // an answer after this earns nothing
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 use lapisroute::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 fn settings(effect: Effect) -> Settings {
@@ -338,6 +338,34 @@
     assert!(back >= 60, "{back} of 600 after it has recovered");
 }
 
+/// Guards a jam against being kept up by the search for it: where many balancers and classes share an upstream that
+/// says nothing to any of them, two requests of each balancer find that out, not two of each class.
+#[test]
+fn a_jammed_upstream_is_left_alone_by_all_classes_at_once() {
+    let mut set = settings(Effect::AtMostOnce);
+    set.classes = vec![class(400, 1000, Effect::AtMostOnce); 4];
+    let mut bench = Bench::new(set, &fleet(8));
+    let (jammed, mut out, mut before) = (UpstreamId(3), VecDeque::new(), 0);
+    for k in 0..400 {
+        if k == 300 {
+            before = bench.attempts_at(jammed);
+        }
+        let id = bench.request(k / 8 % 4, 0, ms(450));
+        match bench.at(id, 0) {
+            Some(upstream) if k >= 300 && upstream == jammed => out.push_back((bench.now + ms(450), id)),
+            Some(_) => bench.ended(id, 0, Outcome::Ok),
+            None => {}
+        }
+        bench.run(ms(15));
+        while let Some((_, id)) = out.front().copied().filter(|(until, _)| *until <= bench.now) {
+            out.pop_front();
+            bench.ended(id, 0, Outcome::TimedOut);
+        }
+    }
+    let met = bench.attempts_at(jammed) - before;
+    assert!(met <= 2, "it met {met} requests in one and a half seconds");
+}
+
 /// Something drops idle connections unseen: silence meets sends after a pause only. Before the next such send the
 /// connections are closed; sends soon after another need no new one.
 #[test]
