Save up further attempts by the stated load, as those of all balancers fall due together

Cause: `RETRY_SAVED` (src/choice.rs) let each balancer start with ten further attempts saved up and save ten again: 0.6 s of all it is sent where 280 share 4,500 requests a second, a sixth of a second where 3 share 190.

Test: `what_many_balancers_save_up_is_a_share_of_the_load`; without the mend 11 follow 16 requests, 4 may.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -60,9 +60,11 @@
 const USUAL: f64 = 0.95;
 /// An attempt is overdue at this share of the aim at the latest, so that another still has time.
 const OVERDUE_BY: f64 = 0.6;
-/// Further attempts earned by each request admitted, and how many of them can be saved up.
+/// Further attempts earned by each request admitted, and how many can be saved up, at least and at most: as
+/// many as are earned in so many seconds of the stated load, as all balancers' savings fall due together.
 const RETRY_SHARE: f64 = 0.1;
-const RETRY_SAVED: f64 = 10.0;
+const RETRY_SAVED: (f64, f64) = (1.0, 10.0);
+const RETRY_OVER: f64 = 1.5;
 /// Seconds over which what was learned of one upstream fades, and answers it takes to believe it.
 const PACE_KEPT: f64 = 10.0;
 const PACE_DOUBT: f64 = 4.0;
@@ -188,7 +190,7 @@
             stated: each,
             set,
             busy_at: f64::NEG_INFINITY,
-            retries: RETRY_SAVED,
+            retries: RETRY_SAVED.0,
             ..Self::default()
         })
     }
@@ -244,7 +246,8 @@
             return;
         };
         self.buckets[tenant].tokens -= 1.0;
-        self.retries = (self.retries + RETRY_SHARE).min(RETRY_SAVED);
+        let most = (RETRY_OVER * RETRY_SHARE * self.stated).clamp(RETRY_SAVED.0, RETRY_SAVED.1);
+        self.retries = (self.retries + RETRY_SHARE).min(most);
         for (k, learned) in self.classes.iter_mut().enumerate() {
             learned.share += 0.01 * (f64::from(u8::from(k == class)) - learned.share);
         }
@@ -299,8 +302,7 @@
         for (c, l) in self.set.classes.iter().zip(&mut self.classes).filter(|(_, l)| at > l.at + HEARD) {
             l.latency -= (tau / HEARD).min(1.0) * (l.latency - 0.5 * ROOM * c.aim.as_secs_f64()).max(0.0);
         }
-        // Queues are shared by all classes: the one whose answers come closest to its aim sets how much they
-        // may grow, or by how much they are too long.
+        // Queues are shared: the class whose answers come closest to its aim sets how much they may grow.
         let classes = self.set.classes.iter().zip(&self.classes).filter(|(_, l)| l.share > SHARE_LEAST);
         let told = at - self.busy_at < BUSY_KEPT;
         let part = if told { ROOM_TOLD } else { ROOM };
@@ -372,9 +374,8 @@
     fn weigh(&mut self, tau: f64) {
         let turns = || self.turns.iter().map(|j| &self.ring[*j]);
         let largest = turns().map(|u| u.size).fold(1e-9, f64::max);
-        let ready = turns().filter(|u| u.ready).count() as f64;
         let ejected = turns().filter(|u| u.ready && u.ejected_until > self.at).count() as f64;
-        let spare_ejections = ejected <= EJECTED_MOST * ready;
+        let spare_ejections = ejected <= EJECTED_MOST * turns().filter(|u| u.ready).count() as f64;
         let far = (1.0 - self.set.prices.cross_zone / FAR_PRICE).max(0.0);
         let near_ready = turns().any(|u| u.ready && u.zone == self.set.zone && u.ejected_until <= self.at);
         let (fade, cold_from) = ((-tau / PACE_KEPT).exp(), self.set.cold_from.min(1.0));
@@ -628,11 +629,9 @@
     /// The request is over: nothing more is sent for it; what is still out is called back.
     fn end(&mut self, id: RequestId) {
         let Some(r) = self.requests.get_mut(&id) else { return };
-        let was_ended = std::mem::replace(&mut r.ended, true);
-        if !was_ended && self.set.cancelling {
-            for (k, _) in r.attempts.iter().enumerate().filter(|(_, a)| a.out) {
-                self.out.push(Action::Cancel { id, attempt: AttemptNo(k as u8) });
-            }
+        let call_back = !std::mem::replace(&mut r.ended, true) && self.set.cancelling;
+        for (k, _) in r.attempts.iter().enumerate().filter(|(_, a)| a.out && call_back) {
+            self.out.push(Action::Cancel { id, attempt: AttemptNo(k as u8) });
         }
         if r.attempts.iter().all(|a| !a.out) {
             self.requests.remove(&id);
@@ -685,8 +684,8 @@
             (h.faults, h.answered, u.faults) = (0, self.at, 0);
             if !overdue {
                 u.ejections = 0;
+                // What ailed it may have been the others' trouble too: they are tried at once.
                 if std::mem::take(&mut h.ejected) {
-                    // What ailed it may have been the others' trouble too: they are tried at once.
                     (l.trials, l.trial_at) = (0, self.at);
                 }
             }
@@ -721,7 +720,7 @@
         let quick = self.at - h.answered > HEARD_OF && l.answers < QUICK * aim;
         let ill = h.faults >= FAULTS || (quick && h.faults > 0 && outcome != Outcome::Error);
         let all = u.faults >= FAULTS;
-        (0..self.classes.len()).filter(|k| all || (ill && *k == class)).for_each(|k| self.eject(j, k));
+        (0..u.health.len()).filter(|k| all || (ill && *k == class)).for_each(|k| self.eject(j, k));
         // Where the fault is the upstream's own, it says nothing of the room elsewhere.
         let u = &mut self.ring[j];
         u.ghosts += f64::from(u8::from(slow && !u.health[class].ejected));
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -103,6 +103,20 @@
     assert!(attempts <= most, "{attempts} attempts for {requests} requests");
 }
 
+/// Guards a crowded fleet against what many balancers have saved up and spend together: what one that sees little may add
+/// is a share of what it sees.
+#[test]
+fn what_many_balancers_save_up_is_a_share_of_the_load() {
+    let mut set = settings(Effect::Idempotent);
+    (set.balancers, set.tenants) = (300, vec![Tenant { allowance_per_s: 4800.0 }]);
+    let mut bench = Bench::new(set, &fleet(12));
+    bench.traffic(600, ms(62), |_| Some(Outcome::Ok));
+    bench.sent.clear();
+    bench.traffic(16, ms(62), |_| Some(Outcome::Error));
+    let further = bench.sent.values().map(|sent| sent.len() - 1).sum::<usize>();
+    assert!(further <= 4, "{further} further attempts for 16 requests in a second");
+}
+
 #[test]
 fn nothing_new_goes_to_one_that_drains_or_is_gone() {
     let mut bench = Bench::new(settings(Effect::Idempotent), &fleet(3));
