Send no second copy while room is missing

Cause: `overdue` (src/choice.rs) let a second copy go out down to W = -1, room for one. A balancer that sees little holds one request or two, so that its W is between -1 and 0 throughout a jam, and all of them copied what was late.

Test: `no_second_copy_goes_out_while_room_is_missing`; without the mend 3 go out.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -585,8 +585,8 @@
             let after = Duration::from_secs_f64((next - self.at).max(1e-6));
             self.due.insert((self.now + after, id, attempt));
         }
-        // Room for one: the overdue attempt itself is counted in what is held.
-        if !again && self.set.hedging && self.room > -1.0 {
+        // A second copy is one more request: where room is missing it makes others overdue.
+        if !again && self.set.hedging && self.room > 0.0 {
             self.further(id, 1.0);
         }
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -25,6 +25,28 @@
     assert!(bench.actions.contains(&Action::Cancel { id, attempt: AttemptNo(0) }));
 }
 
+/// Guards a crowded fleet against copies of what it is late with: each of many balancers sees one request late at a time,
+/// and all their second copies together would make more of them late.
+#[test]
+fn no_second_copy_goes_out_while_room_is_missing() {
+    let mut set = settings(Effect::Idempotent);
+    (set.balancers, set.tenants) = (300, vec![Tenant { allowance_per_s: 900.0 }]);
+    let mut bench = Bench::new(set, &fleet(6));
+    let (mut sent, mut copies) = (0, 0);
+    for k in 0..60 {
+        let id = bench.request(0, 0, ms(1000));
+        bench.run(ms(270));
+        let attempts = bench.sent.get(&id).map_or(0, Vec::len);
+        (0..attempts).for_each(|k| bench.ended(id, k, Outcome::Ok));
+        // Latency shows in the first ones.
+        if k >= 20 {
+            (sent, copies) = (sent + attempts.min(1), copies + attempts.saturating_sub(1));
+        }
+    }
+    assert!(sent > 10, "{sent} sent");
+    assert_eq!(copies, 0, "of {sent} sent");
+}
+
 #[test]
 fn an_effect_that_must_not_run_twice_gets_no_second_try_once_it_may_have_run() {
     let mut bench = Bench::new(settings(Effect::AtMostOnce), &fleet(3));
