Test idle clients over discovery's silence, lists of 1,500 and ten starts at once

Ruled out, by tests with real sockets and the limit on descriptors set by the system (the tests' balancers now start under it): descriptors for discovery's call with all places idle, where lists are pushed and where they are asked for; a cap on either list, and a start that waits for discovery. Ten processes with 1,500 upstreams and 1,500 balancers are ready and serve within 10 s of the first start.

--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -187,6 +187,8 @@
     /// Of the class `book`, which may not run twice, and of `look`, which may.
     pub deadline_ms: u64,
     pub asks: bool,
+    /// How many share the fleet; this is the last of them.
+    pub balancers: u32,
 }
 
 impl Setup {
@@ -199,11 +201,13 @@
             sockets: 256,
             deadline_ms: 8000,
             asks: false,
+            balancers: 1,
         }
     }
 
     pub fn text(&self) -> String {
-        let Self { discovery, known, sockets, deadline_ms, asks } = self;
+        let Self { discovery, known, sockets, deadline_ms, asks, balancers } = self;
+        let me = balancers - 1;
         let how = if *asks { "subscribe" } else { "automatic" };
         let class = |name: &str, effect: &str| {
             format!(
@@ -215,7 +219,7 @@
         format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},
-            "settings":{{"balancers":1,"me":0,"classes":[{}],"discovery":"{how}",
+            "settings":{{"balancers":{balancers},"me":{me},"classes":[{}],"discovery":"{how}",
             "failure_domains":["a","b"],"skus":["m"],"locality":0,
             "limits":{{"conn_idle_ms":60000,"connect_timeout_ms":2000,"try_limit":5,"retry_after":false}},
             "parties":[{{"name":"acme","allowance_per_s":1000.0}}]}}}}"#,
@@ -228,7 +232,14 @@
         let number = COUNT.fetch_add(1, Ordering::SeqCst);
         let path = std::env::temp_dir().join(format!("maplehook-{}-{number}.json", std::process::id()));
         std::fs::write(&path, self.text()).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_maplehook"))
+        // The limit is the system's, too: what goes over it fails.
+        let mut child = Command::new("sh")
+            .args([
+                "-c",
+                "ulimit -n $0 && exec $1",
+                &self.sockets.to_string(),
+                env!("CARGO_BIN_EXE_maplehook"),
+            ])
             .env("NODE_CONFIG", &path)
             .env("NODE_LOG", "info")
             .stderr(Stdio::piped())
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use common::*;
-use std::io::Write;
+use std::io::{BufReader, Write};
+use std::net::TcpListener;
 use std::process::{Command, Stdio};
 use std::time::Instant;
 
@@ -403,6 +404,83 @@
     assert!(silent[0].ends());
 }
 
+/// Guards against a list that is not followed for want of descriptors: idle clients have taken all places while
+/// discovery was down. Once it is back it is followed in time, and new clients are served.
+#[test]
+fn discovery_is_followed_again_though_idle_clients_hold_all_places() {
+    for asks in [false, true] {
+        let (old, new) = (Upstream::start(Then::Answer(OK)), Upstream::start(Then::Answer(OK)));
+        // Calls come up and have no answer until it accepts them.
+        let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut setup = Setup::with(&[old.address]);
+        (setup.discovery, setup.sockets, setup.asks) = (discovery.local_addr().unwrap(), 64, asks);
+        let node = setup.start();
+        let (mut used, mut silent) = (Vec::new(), Vec::new());
+        for _ in 0..40 {
+            let mut client = node.connect();
+            assert_eq!(client.exchange(&look(8000)).status(), 200);
+            used.push(client);
+            silent.push(node.connect());
+        }
+        until("a call in vain", || node.has_logged("watch ended"));
+        let back = Instant::now();
+        std::thread::spawn(move || {
+            for stream in discovery.incoming().map_while(Result::ok) {
+                let gone = entry("s-0", old.address, "Gone");
+                let line = list(2, false, &[gone, entry("s-1", new.address, "Ready")]);
+                // Those that were given up meanwhile ask for nothing any more.
+                if Message::read(&mut BufReader::new(&stream)).is_some() {
+                    let _ = (&stream).write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    let _ = write!(&stream, "{:x}\r\n{line}\n\r\n", line.len() + 1);
+                }
+                std::mem::forget(stream);
+            }
+        });
+        until("the new list counts", || {
+            silent.push(node.connect());
+            node.connect().exchange(&look(8000)).status() == 200 && !new.seen().is_empty()
+        });
+        assert!(back.elapsed() < std::time::Duration::from_secs(6), "{:?}", back.elapsed());
+    }
+}
+
+/// Guards large fleets: no list ends at some round number, neither of upstreams nor of balancers, and the start is quick
+/// though discovery says nothing, also for many processes at once.
+#[test]
+fn fleets_of_thousands_are_served_and_ready_at_once() {
+    let (upstream, other) = (Upstream::start(Then::Answer(OK)), Upstream::start(Then::Answer(OK)));
+    let entries =
+        |address, state| (0..1500).map(|k| entry(&format!("s-{k}"), address, state)).collect::<Vec<_>>();
+    let (discovery, calls) = discovery();
+    let mut setup = Setup::with(&[]);
+    (setup.discovery, setup.balancers) = (discovery, 1500);
+    setup.known = list(1, true, &entries(upstream.address, "Ready"));
+    let start = Instant::now();
+    let nodes: Vec<_> = (0..10).map(|_| setup.start()).collect();
+    for node in &nodes {
+        let ready = "GET /health/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n";
+        assert_eq!(node.connect().exchange(ready).status(), 200);
+        assert_eq!(node.connect().exchange(&look(8000)).status(), 200);
+    }
+    assert!(start.elapsed() < std::time::Duration::from_secs(10), "{:?}", start.elapsed());
+    assert_eq!(upstream.seen().len(), 10);
+    let all: Vec<_> = nodes.iter().map(|_| calls.recv_timeout(LONG).expect("a watch")).collect();
+    // The last of them moves, all others go.
+    let mut gone = entries(upstream.address, "Gone");
+    gone[1499] = entry("s-1499", other.address, "Ready");
+    all.iter().for_each(|(_, stream)| tell(stream, &list(2, false, &gone)));
+    for node in &nodes {
+        until("it follows", || {
+            let before = other.seen().len();
+            node.connect().exchange(&look(8000));
+            other.seen().len() > before
+        });
+    }
+    let before = upstream.seen().len();
+    nodes.iter().for_each(|node| assert_eq!(node.connect().exchange(&look(8000)).status(), 200));
+    assert_eq!(upstream.seen().len(), before, "nothing new goes to those that have gone");
+}
+
 /// Guards an open request against another that bears its id, by mistake or not: that one goes nowhere.
 #[test]
 fn the_id_of_an_open_request_is_refused_and_the_open_one_untouched() {
