Test that a list without an end is given up within the time in which a change counts as told

Ruled out: that reading the list anew with each part of it (`follow`, node/src/discovery.rs) takes longer than the 6 s.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -524,6 +524,30 @@
         assert!(ended.elapsed() >= WATCH_EVERY - Duration::from_millis(50));
     }
 
+    /// Guards against a list without an end, as fast as it can be read: it is given up and discovery asked again well
+    /// within the time in which a change counts as told.
+    #[tokio::test(flavor = "local")]
+    async fn a_list_without_an_end_is_given_up_in_time() {
+        let (_driver, discovery) = watching().await;
+        let mut endless = call(&discovery).await;
+        let begun = Instant::now();
+        let writing = spawn_local(async move {
+            endless.write_all(HEAD).await?;
+            endless.write_all(b"23\r\n{\"rev\":1,\n \"all\":true,\n \"targets\":[\r\n").await?;
+            let entry = "\n  {\n    \"uid\": \"s-\\\"]}\",\n    \"state\": \"Ready\"\n  },".repeat(600);
+            let chunk = format!("{:x}\r\n{entry}\r\n", entry.len());
+            loop {
+                endless.write_all(chunk.as_bytes()).await?;
+            }
+            #[expect(unreachable_code, reason = "it names the type")]
+            std::io::Result::Ok(())
+        });
+        call(&discovery).await;
+        let back = begun.elapsed();
+        assert!(back < Duration::from_secs(4), "{back:?}");
+        writing.abort();
+    }
+
     async fn read(stream: &mut TcpStream) -> String {
         let mut text = [0; 1024];
         let n = stream.read(&mut text).await.unwrap();
