--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 use lapisroute::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 fn settings(effect: Effect) -> Settings {
@@ -25,6 +25,28 @@
     assert!(bench.actions.contains(&Action::Cancel { id, attempt: AttemptNo(0) }));
 }
 
+/// Guards a crowded fleet against copies of what it is late with: each of many balancers sees one request late at a time,
+/// and all their second copies together would make more of them late.
+#[test]
+fn no_second_copy_goes_out_while_room_is_missing() {
+    let mut set = settings(Effect::Idempotent);
+    (set.balancers, set.tenants) = (300, vec![Tenant { allowance_per_s: 900.0 }]);
+    let mut bench = Bench::new(set, &fleet(6));
+    let (mut sent, mut copies) = (0, 0);
+    for k in 0..60 {
+        let id = bench.request(0, 0, ms(1000));
+        bench.run(ms(270));
+        let attempts = bench.sent.get(&id).map_or(0, Vec::len);
+        (0..attempts).for_each(|k| bench.ended(id, k, Outcome::Ok));
+        // Latency shows in the first ones.
+        if k >= 20 {
+            (sent, copies) = (sent + attempts.min(1), copies + attempts.saturating_sub(1));
+        }
+    }
+    assert!(sent > 10, "{sent} sent");
+    assert_eq!(copies, 0, "of {sent} sent");
+}
+
 #[test]
 fn an_effect_that_must_not_run_twice_gets_no_second_try_once_it_may_have_run() {
     let mut bench = Bench::new(settings(Effect::AtMostOnce), &fleet(3));
@@ -103,6 +125,20 @@
     assert!(attempts <= most, "{attempts} attempts for {requests} requests");
 }
 
+/// Guards a crowded fleet against what many balancers have saved up and spend together: what one that sees little may add
+/// is a share of what it sees.
+#[test]
+fn what_many_balancers_save_up_is_a_share_of_the_load() {
+    let mut set = settings(Effect::Idempotent);
+    (set.balancers, set.tenants) = (300, vec![Tenant { allowance_per_s: 4800.0 }]);
+    let mut bench = Bench::new(set, &fleet(12));
+    bench.traffic(600, ms(62), |_| Some(Outcome::Ok));
+    bench.sent.clear();
+    bench.traffic(16, ms(62), |_| Some(Outcome::Error));
+    let further = bench.sent.values().map(|sent| sent.len() - 1).sum::<usize>();
+    assert!(further <= 4, "{further} further attempts for 16 requests in a second");
+}
+
 #[test]
 fn nothing_new_goes_to_one_that_drains_or_is_gone() {
     let mut bench = Bench::new(settings(Effect::Idempotent), &fleet(3));
@@ -338,6 +374,34 @@
     assert!(back >= 60, "{back} of 600 after it has recovered");
 }
 
+/// Guards a jam against being kept up by the search for it: where many balancers and classes share an upstream that
+/// says nothing to any of them, two requests of each balancer find that out, not two of each class.
+#[test]
+fn a_jammed_upstream_is_left_alone_by_all_classes_at_once() {
+    let mut set = settings(Effect::AtMostOnce);
+    set.classes = vec![class(400, 1000, Effect::AtMostOnce); 4];
+    let mut bench = Bench::new(set, &fleet(8));
+    let (jammed, mut out, mut before) = (UpstreamId(3), VecDeque::new(), 0);
+    for k in 0..400 {
+        if k == 300 {
+            before = bench.attempts_at(jammed);
+        }
+        let id = bench.request(k / 8 % 4, 0, ms(450));
+        match bench.at(id, 0) {
+            Some(upstream) if k >= 300 && upstream == jammed => out.push_back((bench.now + ms(450), id)),
+            Some(_) => bench.ended(id, 0, Outcome::Ok),
+            None => {}
+        }
+        bench.run(ms(15));
+        while let Some((_, id)) = out.front().copied().filter(|(until, _)| *until <= bench.now) {
+            out.pop_front();
+            bench.ended(id, 0, Outcome::TimedOut);
+        }
+    }
+    let met = bench.attempts_at(jammed) - before;
+    assert!(met <= 2, "it met {met} requests in one and a half seconds");
+}
+
 /// Something drops idle connections unseen: silence meets sends after a pause only. Before the next such send the
 /// connections are closed; sends soon after another need no new one.
 #[test]
