--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -191,6 +191,33 @@
     }
 }
 
+/// Guards a fleet of many balancers, each of which has an answer from an upstream only now and then, against calling
+/// back what is merely slow: the work goes on, and is done again elsewhere. No answer for a moment is no silence there.
+#[test]
+fn an_upstream_that_is_seldom_asked_is_not_silent() {
+    let mut set = settings(Effect::Idempotent);
+    set.hedging = false;
+    let mut bench = Bench::new(set, &fleet(8));
+    // An answer from each every 0.8 s.
+    bench.traffic(200, ms(100), |_| Some(Outcome::Ok));
+    let slow = bench.request(0, 0, ms(1000));
+    let upstream = bench.at(slow, 0).expect("sent");
+    for k in 1..=60 {
+        bench.run(ms(10));
+        assert!(
+            !bench.actions.contains(&Action::Cancel { id: slow, attempt: AttemptNo(0) }),
+            "after {k}0 ms"
+        );
+        if k % 10 == 0 {
+            let other = bench.request(0, 0, ms(1000));
+            if bench.at(other, 0).is_some_and(|u| u != upstream) {
+                bench.ended(other, 0, Outcome::Ok);
+            }
+        }
+    }
+    assert_eq!(bench.sent[&slow].len(), 1, "the work is asked for once");
+}
+
 /// Guards against a fleet made slower by calling back what would have been answered: where most answers take longer
 /// than the earliest moment for that, and an upstream is asked too seldom to show that it lives, what was given up
 /// counts as longer than usual too, so that few are.
