Take an upstream for silent by what is overdue there, not by a gap between answers

Ruled out: a gap estimated from all upstreams; it would be a second measure beside the count.

At fault: the condition on `silent` in `overdue`, src/choice.rs. Now three attempts have to be overdue there with no answer since the one in hand was sent: one or two may just be slow. The gap goes, with its state.

Test: an_upstream_that_was_not_heard_of_yet_is_not_silent fails without the change (called back after 260 ms).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -100,10 +100,9 @@
 const SUBSETS_EACH: usize = 4;
 /// Share of the aim after which an attempt whose late answer is worth nothing is given up.
 const AIM_LEFT: f64 = 0.98;
-/// An upstream is silent when this many of its usual gaps between answers have passed without one: at random
-/// arrivals that happens to one gap in twenty by chance. Weight of the newest gap in the usual one.
-const SILENT_GAPS: f64 = 3.0;
-const GAP_NEWEST: f64 = 0.1;
+/// Attempts overdue at an upstream that has answered nothing meanwhile which show that it is silent: one or
+/// two of them may just be among the one in twenty that takes long anyway.
+const SILENT_OVERDUE: u32 = 3;
 
 /// Weight of the newest in the mean latency of those answered.
 const ANSWERS_NEWEST: f64 = 0.1;
@@ -576,11 +575,11 @@
         if let Some(&j) = self.index.get(&a.upstream) {
             let u = &mut self.ring[j];
             u.overdue += u32::from(!again);
-            silent = u.alive_at <= a.sent && self.at - u.alive_at > SILENT_GAPS * u.answer_gap.value();
+            silent = u.alive_at <= a.sent && u.overdue >= SILENT_OVERDUE;
         }
-        // It is called back only from an upstream that has answered nothing for longer than is usual there:
-        // from any other the work would be done for nobody, or twice. Of many balancers each has few
-        // answers from an upstream: that none came since this attempt was sent is no sign by itself.
+        // It is called back only from an upstream with several overdue attempts and no answer since: from any
+        // other the work would be done for nobody, or twice. Of many balancers each has an answer from an
+        // upstream only now and then: that none came since this attempt was sent is no sign by itself.
         let last = r.attempts.len() >= usize::from(self.set.max_attempts);
         let repeatable = class.effect != Effect::AtMostOnce && !class.streamed && !last;
         let spare = repeatable && self.at >= by && !self.set.hedging && self.retries >= 1.0;
@@ -696,12 +695,7 @@
             }
         }
         match outcome {
-            Outcome::Ok | Outcome::Error | Outcome::Rejected => {
-                if u.alive_at > f64::NEG_INFINITY {
-                    u.answer_gap.add(self.at - u.alive_at, GAP_NEWEST);
-                }
-                (u.breaks, u.alive_at) = (0, self.at);
-            }
+            Outcome::Ok | Outcome::Error | Outcome::Rejected => (u.breaks, u.alive_at) = (0, self.at),
             Outcome::Reset => u.breaks += 1,
             Outcome::ConnectFailed => u.breaks += BREAKS_REFUSED,
             _ => {}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,6 @@
 //! What a balancer keeps: plain data, filled and read by `choice.rs`. Times are seconds; no decisions.
 
 use crate::interface::{CellId, UpstreamId, ZoneId};
-use crate::stats::Mean;
 
 /// An upstream as one balancer sees it.
 #[derive(Default)]
@@ -20,12 +19,11 @@
     pub(crate) ghosts: f64, // given up, and perhaps still at work there; fading over the shortest aim
     pub(crate) held: f64,   // what others hold there, by the latest report
     pub(crate) held_at: f64,
-    pub(crate) pace: f64,        // mean of latency over what is usual for the class
-    pub(crate) seen: f64,        // answers behind it, fading
-    pub(crate) faults: u32,      // in a row, of whichever class
-    pub(crate) breaks: u32,      // connections broken since the last answer
-    pub(crate) alive_at: f64,    // of that answer, whatever it was
-    pub(crate) answer_gap: Mean, // time from one answer to the next, as this balancer sees them
+    pub(crate) pace: f64,     // mean of latency over what is usual for the class
+    pub(crate) seen: f64,     // answers behind it, fading
+    pub(crate) faults: u32,   // in a row, of whichever class
+    pub(crate) breaks: u32,   // connections broken since the last answer
+    pub(crate) alive_at: f64, // of that answer, whatever it was
     pub(crate) ejections: u32,
     pub(crate) ejected_until: f64,
     pub(crate) health: Vec<Health>, // by class
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -218,6 +218,24 @@
     assert_eq!(bench.sent[&slow].len(), 1, "the work is asked for once");
 }
 
+/// Guards a process that has just started, as all may at once, against taking upstreams for silent from which it has
+/// asked next to nothing yet.
+#[test]
+fn an_upstream_that_was_not_heard_of_yet_is_not_silent() {
+    let mut set = settings(Effect::Idempotent);
+    set.hedging = false;
+    let mut bench = Bench::new(set, &fleet(8));
+    let slow = bench.request(0, 0, ms(1000));
+    for k in 1..=90 {
+        bench.run(ms(10));
+        assert!(
+            !bench.actions.contains(&Action::Cancel { id: slow, attempt: AttemptNo(0) }),
+            "after {k}0 ms"
+        );
+    }
+    assert_eq!(bench.sent[&slow].len(), 1, "the work is asked for once");
+}
+
 /// Guards against a fleet made slower by calling back what would have been answered: where most answers take longer
 /// than the earliest moment for that, and an upstream is asked too seldom to show that it lives, what was given up
 /// counts as longer than usual too, so that few are.
