Give a cold upstream the turns that its reports say it can take

The cold ones meanwhile report cores in use of 0.4 to 0.7, below the fleet's 0.77.

Ruled out: the leave of cold upstreams, which stays as it is and grows with their weight.

At fault: `weigh` in src/choice.rs takes what the settings state of a cold upstream for what it can do, though it is the least: "at this fraction or higher", "warm no later than". Its turns now follow how busy it says it is against the others, as fast as reports come, and no further than the multiple of the stated at which it falls, so that the rule holds where it can do no more than is stated. Where nothing is reported all is as before.

Tests: a_cold_upstream_that_reports_room_gets_more_than_is_stated fails without the change (80 requests against 80); the sum of 20, 30 and 350 balancers stays within the budget with reports too.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -87,6 +87,8 @@
 const EJECTED_MOST: f64 = 0.6;
 /// What a cold upstream gets for each unit of capacity: this share of what would push it over.
 const COLD_SHARE: f64 = 0.4;
+/// How fast a cold upstream's turns follow what it reports, a second: reports come a second or two late.
+const RAMP_FOLLOW: f64 = 0.8;
 /// Points of cross-zone price at which other zones get no ordinary turns; less in proportion.
 const FAR_PRICE: f64 = 0.05;
 /// Seconds after which a load report is half forgotten.
@@ -384,8 +386,23 @@
         let (fade, cold_from) = ((-tau / PACE_KEPT).exp(), self.set.cold_from.min(1.0));
         let aim = self.set.classes.iter().map(|c| c.aim.as_secs_f64()).fold(f64::INFINITY, f64::min);
         let laid = (-tau / aim).exp();
+        let heard = |u: &Upstream| self.at - u.utilization_at < BUSY_KEPT;
+        let (reports, sum) = turns()
+            .filter(|u| heard(u) && u.weight > 0.0)
+            .fold((0.0, 0.0), |(n, sum), u| (n + 1.0, sum + u.utilization));
+        let usual_utilization = f64::max(sum / f64::max(reports, 1.0), 0.1);
+        // Not past the multiple at which it falls: it may be able to do no more than what is stated.
+        let ramp_most = self.set.fall_multiple.max(1.0);
         for j in &self.turns {
             let u = &mut self.ring[*j];
+            if u.started.is_none() {
+                u.ramp_scale = 1.0;
+            } else if heard(u) {
+                // What is stated is the least that it can do: it may work as hard as the others.
+                let spare = (usual_utilization - u.utilization) / usual_utilization;
+                let scale = u.ramp_scale * (RAMP_FOLLOW * tau * spare).exp();
+                u.ramp_scale = scale.clamp(1.0 / ramp_most, ramp_most);
+            }
             u.seen *= fade;
             u.ghosts *= laid;
             let pace = (u.pace * u.seen + PACE_DOUBT) / (u.seen + PACE_DOUBT);
@@ -394,7 +411,7 @@
                 cold_from + (1.0 - cold_from) * share
             });
             u.started = u.started.filter(|_| climb < 1.0);
-            u.capacity = (u.size / largest * climb / pace.clamp(0.25, 4.0)).max(1e-3);
+            u.capacity = (u.size / largest * climb * u.ramp_scale / pace.clamp(0.25, 4.0)).max(1e-3);
             let usable = u.ready && (u.ejected_until <= self.at || !spare_ejections);
             let zone = if u.zone == self.set.zone || !near_ready { 1.0 } else { far };
             u.weight = if usable { u.capacity * zone } else { 0.0 };
@@ -754,6 +771,7 @@
                 LoadField::Utilization => {
                     self.busy.add(value.min(1.0), BUSY_NEWEST);
                     self.busy_at = self.at;
+                    (u.utilization, u.utilization_at) = (value.min(1.0), self.at);
                 }
                 _ => {}
             }
@@ -814,6 +832,7 @@
                 // It has restarted: what was held against it is void, and it is cold.
                 u.started = Some(s);
                 (u.ejections, u.ejected_until, u.faults, u.leave) = (0, 0.0, 0, self.rng.f64());
+                u.ramp_scale = 1.0;
                 u.health.fill(Health::default());
                 (u.fresh, changed) = (true, true);
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -19,11 +19,14 @@
     pub(crate) ghosts: f64, // given up, and perhaps still at work there; fading over the shortest aim
     pub(crate) held: f64,   // what others hold there, by the latest report
     pub(crate) held_at: f64,
-    pub(crate) pace: f64,     // mean of latency over what is usual for the class
-    pub(crate) seen: f64,     // answers behind it, fading
-    pub(crate) faults: u32,   // in a row, of whichever class
-    pub(crate) breaks: u32,   // connections broken since the last answer
-    pub(crate) alive_at: f64, // of that answer, whatever it was
+    pub(crate) utilization: f64, // of its cores, by its latest report
+    pub(crate) utilization_at: f64,
+    pub(crate) ramp_scale: f64, // how much more than stated it can do while it warms up
+    pub(crate) pace: f64,       // mean of latency over what is usual for the class
+    pub(crate) seen: f64,       // answers behind it, fading
+    pub(crate) faults: u32,     // in a row, of whichever class
+    pub(crate) breaks: u32,     // connections broken since the last answer
+    pub(crate) alive_at: f64,   // of that answer, whatever it was
     pub(crate) ejections: u32,
     pub(crate) ejected_until: f64,
     pub(crate) health: Vec<Health>, // by class
@@ -38,7 +41,16 @@
     /// One of which nothing is known but its id and start.
     pub(crate) fn new(id: UpstreamId, started: Option<f64>, classes: usize) -> Self {
         let health = vec![Health::default(); classes];
-        Self { id, started, health, capacity: 1.0, alive_at: f64::NEG_INFINITY, ..Self::default() }
+        Self {
+            id,
+            started,
+            health,
+            capacity: 1.0,
+            ramp_scale: 1.0,
+            utilization_at: f64::NEG_INFINITY,
+            alive_at: f64::NEG_INFINITY,
+            ..Self::default()
+        }
     }
 }
 
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -4,6 +4,7 @@
 mod common;
 use common::*;
 use lapisroute::*;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 const OLD: u64 = 10;
@@ -24,10 +25,66 @@
     Pause,
     /// Every answer of the newcomer to the first class fails.
     Fail,
+    /// As before.
+    Fare,
 }
 
-fn settings(balancers: u32, index: u32, each: f64) -> Settings {
+/// Whether upstreams report how much of their cores is in use, and what a newcomer can do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Load {
+    /// No reports; it can do what is stated.
+    Unreported,
+    /// Reports; it can do this multiple of what is stated, up to a warm one's work.
+    Reported(f64),
+}
+
+/// What each upstream reports: the share of its capacity that was asked of it, over one period after another.
+#[derive(Default)]
+struct Reporters {
+    asked: BTreeMap<UpstreamId, u32>,
+    told: BTreeMap<UpstreamId, f32>,
+    until: Duration,
+}
+
+impl Reporters {
+    const PERIOD: Duration = Duration::from_millis(1000);
+
+    fn ask(&mut self, upstream: UpstreamId) {
+        *self.asked.entry(upstream).or_default() += 1;
+    }
+
+    /// Ends the period when it is over; `capacity`: requests a second that one can do.
+    fn go_on(&mut self, now: Duration, capacity: impl Fn(UpstreamId) -> f64) {
+        if now >= self.until {
+            self.until = now + Self::PERIOD;
+            for (upstream, asked) in std::mem::take(&mut self.asked) {
+                let most = capacity(upstream) * Self::PERIOD.as_secs_f64();
+                self.told.insert(upstream, (f64::from(asked) / most).min(1.0) as f32);
+            }
+        }
+    }
+
+    fn report(&self, upstream: UpstreamId) -> [f32; 1] {
+        [self.told.get(&upstream).copied().unwrap_or(0.0)]
+    }
+}
+
+/// What a warm upstream can do a second.
+fn full(balancers: u32, each: f64) -> f64 {
+    each * f64::from(balancers) / LOAD / OLD as f64
+}
+
+/// The share of a warm one's work that the settings state for the newcomer.
+fn stated_share(set: &Settings, now: Duration) -> f64 {
+    let climb = (now.saturating_sub(BOOT).as_secs_f64() / set.cold_time.as_secs_f64()).min(1.0);
+    set.cold_from + (1.0 - set.cold_from) * climb
+}
+
+fn settings(balancers: u32, index: u32, each: f64, load: Load) -> Settings {
+    let reported = load != Load::Unreported;
     Settings {
+        reports: if reported { Reports::Inline } else { Reports::Off },
+        report_fields: vec![LoadField::Utilization],
         balancers,
         index,
         classes: vec![class(400, 1000, Effect::AtMostOnce); 2],
@@ -41,14 +98,14 @@
 }
 
 /// What the newcomer is sent by `balancers` that get `each` requests a second.
-fn sent_to_newcomer(balancers: u32, each: f64, then: Then) -> Vec<Duration> {
+fn sent_to_newcomer(balancers: u32, each: f64, then: Then, load: Load) -> Vec<Duration> {
     let newcomer = Listed { started: Some(BOOT), ..listed(NEW.0) };
     let before: Vec<_> = (1..=OLD).map(listed).collect();
     let gone = if then == Then::Crowd { OLD as usize / 2 } else { 0 };
     let after: Vec<_> = before[gone..].iter().cloned().chain([newcomer]).collect();
     let start = |k: u32, seed: u64, known: &[Listed], now: Duration| {
-        let mut bench = Bench::new(settings(balancers, k, each), &[]);
-        (bench.balancer, bench.now) = (Balancer::new(settings(balancers, k, each), seed).unwrap(), now);
+        let mut bench = Bench::new(settings(balancers, k, each, load), &[]);
+        (bench.balancer, bench.now) = (Balancer::new(settings(balancers, k, each, load), seed).unwrap(), now);
         bench.timers.clear();
         bench.tell(Event::Fleet { scope: FleetScope::Cached, listed: known });
         bench
@@ -57,9 +114,16 @@
     let (mut told, mut restarts, mut sent) = (false, 0, Vec::new());
     let mut open: Vec<(usize, RequestId, Duration)> = Vec::new();
     let gap = Duration::from_secs_f64(1.0 / (each * f64::from(balancers)));
-    let (mut now, mut n) = (ms(0), 0usize);
+    let set = settings(balancers, 0, each, load);
+    let (mut now, mut n, mut reporters) = (ms(0), 0usize, Reporters::default());
     while now < END {
         (now, n) = (now + gap, n + 1);
+        reporters.go_on(now, |upstream| match load {
+            Load::Reported(multiple) if upstream == NEW => {
+                full(balancers, each) * (multiple * stated_share(&set, now)).min(1.0)
+            }
+            _ => full(balancers, each),
+        });
         if now >= BOOT && !std::mem::replace(&mut told, true) {
             for b in &mut all {
                 b.run(now.saturating_sub(b.now));
@@ -77,8 +141,11 @@
             let (k, id, _) = open.swap_remove(i);
             let b = &mut all[k];
             b.run(now.saturating_sub(b.now));
-            let fails = then == Then::Fail && b.at(id, 0) == Some(NEW) && id.0 % 2 == 0;
-            b.ended(id, 0, if fails { Outcome::Error } else { Outcome::Ok });
+            let Some(upstream) = b.at(id, 0) else { continue };
+            let fails = then == Then::Fail && upstream == NEW && id.0 % 2 == 0;
+            let outcome = if fails { Outcome::Error } else { Outcome::Ok };
+            let report = if load == Load::Unreported { &[][..] } else { &reporters.report(upstream) };
+            b.ended_with(id, 0, outcome, report);
         }
         let quiet = then == Then::Pause && now > BOOT + ms(500) && now < BOOT + ms(5500);
         let k = n * 7919 % all.len();
@@ -88,6 +155,7 @@
             let id = b.request((n % 2) as u16, 0, ms(600));
             if let Some(upstream) = b.at(id, 0) {
                 let crowded = told && then == Then::Crowd && upstream != NEW;
+                reporters.ask(upstream);
                 open.push((k, id, now + ms(if crowded { 250 } else { 30 })));
                 sent.extend((upstream == NEW).then_some(now));
             }
@@ -102,25 +170,33 @@
 fn a_cold_upstream_holds_under_the_sum_of_all_balancers() {
     for (balancers, each) in [(20, 14.0), (30, 14.0), (350, 2.0)] {
         for then in [Then::Restart, Then::Crowd, Then::Pause, Then::Fail] {
-            let sent = sent_to_newcomer(balancers, each, then);
-            assert!(
-                sent.len() > 20,
-                "{balancers}, {then:?}: it is warmed up by work, {} requests",
-                sent.len()
-            );
-            let set = settings(balancers, 0, each);
-            let full = each * f64::from(balancers) / LOAD / OLD as f64;
-            for (k, from) in sent.iter().enumerate() {
-                let window = sent[k..].iter().take_while(|at| **at < *from + set.fall_time).count() as f64;
-                let climb = (from.saturating_sub(BOOT).as_secs_f64() / set.cold_time.as_secs_f64()).min(1.0);
-                let can = full * (set.cold_from + (1.0 - set.cold_from) * climb);
-                let budget = set.fall_multiple * can * set.fall_time.as_secs_f64();
-                let most = budget + 2.0 * budget.sqrt() + 2.0;
-                assert!(
-                    window <= most,
-                    "{balancers}, {then:?}: {window} of {most:.0} in the window from {from:?}"
-                );
+            for load in [Load::Unreported, Load::Reported(1.0)] {
+                let sent = sent_to_newcomer(balancers, each, then, load);
+                let what = format!("{balancers}, {then:?}, {load:?}");
+                assert!(sent.len() > 20, "{what}: it is warmed up by work, {} requests", sent.len());
+                let set = settings(balancers, 0, each, load);
+                for (k, from) in sent.iter().enumerate() {
+                    let window =
+                        sent[k..].iter().take_while(|at| **at < *from + set.fall_time).count() as f64;
+                    let can = full(balancers, each) * stated_share(&set, *from);
+                    let budget = set.fall_multiple * can * set.fall_time.as_secs_f64();
+                    let most = budget + 2.0 * budget.sqrt() + 2.0;
+                    assert!(window <= most, "{what}: {window} of {most:.0} in the window from {from:?}");
+                }
             }
         }
     }
 }
+
+/// Guards against upstreams that stand idle while others are crowded: what is stated of a cold one is the least that it
+/// can do. Where its reports say that it could do more, it gets more.
+#[test]
+fn a_cold_upstream_that_reports_room_gets_more_than_is_stated() {
+    for (balancers, each) in [(20, 14.0), (100, 10.0)] {
+        let sent = |load| sent_to_newcomer(balancers, each, Then::Fare, load).len() as f64;
+        let unknown = sent(Load::Unreported);
+        let (as_stated, twice) = (sent(Load::Reported(1.0)), sent(Load::Reported(2.0)));
+        assert!(twice > 1.3 * unknown, "{balancers}: {twice} against {unknown}");
+        assert!(twice > as_stated, "{balancers}: {twice} against {as_stated}");
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -105,6 +105,11 @@
     }
 
     pub fn ended(&mut self, id: RequestId, attempt: usize, outcome: Outcome) {
+        self.ended_with(id, attempt, outcome, &[]);
+    }
+
+    /// The same with a load report.
+    pub fn ended_with(&mut self, id: RequestId, attempt: usize, outcome: Outcome, report: &[f32]) {
         let (sent, upstream) = self.sent[&id][attempt];
         let finished = outcome == Outcome::Ok || self.answers.contains_key(&id);
         if outcome == Outcome::Ok {
@@ -117,7 +122,7 @@
             outcome,
             latency: self.now - sent,
             finished,
-            report: &[],
+            report,
         });
     }
 
