--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,7 +6,9 @@
 //! skipping one that holds clearly more than the next ones. Everything else here is an exception to that path
 //! and says what it guards against. Times are seconds.
 
+use crate::discovery_schedule::DiscoverySchedule;
 use crate::interface::*;
+use crate::stale_connections::StaleConnections;
 use crate::state::{Attempt, Bucket, Health, Learned, Request, Upstream};
 use crate::stats::Chance;
 use rustc_hash::FxHashMap;
@@ -113,15 +115,6 @@
 const LATENCY_OVER: f64 = 3.0;
 const LATENCY_NEWEST: f64 = 0.02;
 
-/// A connection idle for this long may have been dropped unseen; seconds for which that is held.
-const IDLE: f64 = 0.3;
-const REAP_KEPT: f64 = 15.0;
-
-/// The longest waits, in seconds, for the first call to discovery and for the next after one in vain: a
-/// change counts as told 6 s after it could be had, and one that fails late and the next need time too.
-const ASK_FIRST_MOST: f64 = 1.0;
-const ASK_WAIT_MOST: f64 = 3.0;
-
 /// The timer of the tick.
 const TICK_TIMER: TimerId = TimerId(0);
 
@@ -141,9 +134,6 @@
     sigma: usize,           // the counter of the round robin
     ahead: VecDeque<usize>, // the turns after it
     requests: FxHashMap<RequestId, Request>,
-    silent: [f64; 2], // share of attempts never answered, on connections in use and on idle ones
-    reap: f64,        // idle time after which a connection may be dead
-    reap_until: f64,
     due: BTreeSet<(Duration, RequestId, u8)>, // when attempts out become overdue
     buckets: Vec<Bucket>,
     classes: Vec<Learned>,
@@ -156,9 +146,8 @@
     retries: f64,
     ticking: bool,
     last_tick: f64,
-    watching: bool,
-    ask_at: f64,
-    ask_failures: u32,
+    discovery: DiscoverySchedule,
+    stale: StaleConnections,
 }
 
 /// Seconds of a tenant's guarantee that its bucket holds.
@@ -208,7 +197,7 @@
         (self.now, self.at) = (now, at);
         if !std::mem::replace(&mut self.ticking, true) {
             self.last_tick = at;
-            self.ask_at = at + (self.set.ask_every.as_secs_f64() * 0.1).min(ASK_FIRST_MOST) * self.rng.f64();
+            self.discovery.start(at, self.set.ask_every, &mut self.rng);
             let after = Duration::from_secs_f64(TICK * self.rng.f64());
             self.out.push(Action::Timer { after, timer: TICK_TIMER });
         }
@@ -282,9 +271,7 @@
             self.due.remove(&(when, id, attempt));
             self.overdue(id, attempt);
         }
-        if self.set.ask_for_fleet && !self.watching && at >= self.ask_at {
-            // An unanswered call is asked again well before silence counts as having been told.
-            self.ask_at = at + self.set.ask_every.as_secs_f64() * (0.4 + 0.2 * self.rng.f64());
+        if self.set.ask_for_fleet && self.discovery.is_due(at, self.set.ask_every, &mut self.rng) {
             self.out.push(Action::WatchFleet);
         }
         self.out.push(Action::Timer { after: Duration::from_secs_f64(TICK), timer: TICK_TIMER });
@@ -512,7 +499,7 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let u = &mut self.ring[turn];
         let mut idle = if u.in_flight > 0 || u.used_at <= 0.0 { 0.0 } else { self.at - u.used_at };
-        if idle > self.reap && self.at < self.reap_until && self.silent[1] > 2.0 * self.silent[0] {
+        if self.stale.may_be_dead(self.at, idle) {
             self.out.push(Action::CloseIdle { upstream: u.id });
             idle = 0.0;
         }
@@ -683,15 +670,8 @@
             learned.at = self.at;
             learned.latency += newest * (latency - learned.latency);
         }
-        // Silence on idle connections, not on those in use, is laid to the way there: something drops them
-        // unseen. They are closed before use. Harm where that is wrong: a handshake a use, for a while.
         if ok || slow {
-            let share = &mut self.silent[usize::from(idle > IDLE)];
-            *share += 0.2 * (f64::from(u8::from(slow)) - *share);
-        }
-        if slow && idle > IDLE && self.silent[1] > 0.3 && self.silent[1] > 2.0 * self.silent[0] {
-            let before = if self.at < self.reap_until { self.reap } else { f64::INFINITY };
-            (self.reap, self.reap_until) = (before.min(idle / 2.0).max(IDLE), self.at + REAP_KEPT);
+            self.stale.learn(self.at, idle, ok);
         }
         let Some(&j) = self.index.get(&id) else { return };
         let u = &mut self.ring[j];
@@ -784,17 +764,11 @@
 
     fn fleet(&mut self, scope: FleetScope, listed: &[Listed]) {
         if scope == FleetScope::Failed {
-            // Doubling, jittered waits: a list service that was down must not meet all at once.
-            let longest = (self.set.ask_every.as_secs_f64() * 0.8).min(ASK_WAIT_MOST);
-            let wait = (longest / 16.0) * f64::from(1u32 << self.ask_failures.min(4));
-            self.ask_failures += 1;
-            self.watching = false;
-            self.ask_at = self.at + wait * (0.5 + 0.5 * self.rng.f64());
+            self.discovery.failed(self.at, self.set.ask_every, &mut self.rng);
             return;
         }
         if scope != FleetScope::Cached {
-            self.watching = true;
-            self.ask_failures = 0;
+            self.discovery.answered();
         }
         let mut changed = scope != FleetScope::Changes;
         if changed {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,7 +68,9 @@
 //! deadline. `Balancer` gives each request exactly one final answer on these terms.
 
 mod choice;
+mod discovery_schedule;
 mod interface;
+mod stale_connections;
 mod state;
 mod stats;
 
