--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,10 +6,12 @@
 //! skipping one that holds clearly more than the next ones. Everything else here is an exception to that path
 //! and says what it guards against. Times are seconds.
 
+use crate::admission::Admission;
 use crate::discovery_schedule::DiscoverySchedule;
 use crate::interface::*;
+use crate::room::{Latency, REPORT_STANDS, Room, UTILIZATION_LEAST, mean_utilization};
 use crate::stale_connections::StaleConnections;
-use crate::state::{Attempt, Bucket, Health, Learned, Request, Upstream};
+use crate::state::{Attempt, Health, Learned, Request, Upstream};
 use crate::stats::Chance;
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeSet, VecDeque};
@@ -23,34 +25,8 @@
 const ROOM: f64 = 0.4;
 /// The same where reports tell how busy the cores are, so that latency need only guard.
 const ROOM_TOLD: f64 = 0.55;
-/// Seconds and requests over which demand V_i is counted at least, and C: a tick sees too few to go by.
-const DEMAND_OVER: f64 = 1.0;
-const DEMAND_COUNT: f64 = 10.0;
-/// Seconds over which a gain of C is believed, and a rate once reached is forgotten while there is no strain.
-const RATE_OVER: f64 = 2.0;
-const RATE_KEPT: f64 = 30.0;
-/// Share of the upstreams' cores that spare room may keep busy where reports tell, and what is added for
-/// demand over the shares, by its worth: where it is worth little, so is the risk. Below it queues are short.
-const BUSY: f64 = 0.8;
-const BUSY_MORE: f64 = 0.4;
-/// Seconds for which an upstream's report stands without a further one.
-const BUSY_KEPT: f64 = 3.0;
-/// Bucket size T_i: these seconds of the guarantee, but no more than the longest aim, as they are admitted
-/// even when room has just gone; or this share of the tenant's demand, whichever is more, and this many
-/// tokens, so that a small tenant's chance pairs are not refused.
-const BUCKET_OVER: f64 = 1.0;
-const BUCKET: f64 = 0.2;
-const BUCKET_LEAST: f64 = 3.0;
-/// Guarantees grow with the middle tenant's demand and this much more, up to so many equal parts.
-const PART_SPARE: f64 = 1.3;
-const PART_MOST: f64 = 4.0;
 /// Seconds after which what was last heard of a class or by probes fades, over as long again.
 const HEARD: f64 = 5.0;
-/// Part of a guarantee lost for each part of what is held that is too much: for demand over it, inside; and
-/// seconds over which that is averaged before saved tokens go the same way.
-const CUT: (f64, f64) = (20.0, 2.0);
-const CUT_FROM: f64 = 0.25;
-const MISSING_OVER: f64 = 0.3;
 /// Turns looked ahead by the skip rule; two is the design's.
 const LOOK_AHEAD: usize = 3;
 /// Holding this many times what another in sight holds, and half a request more, is clearly more.
@@ -135,14 +111,10 @@
     ahead: VecDeque<usize>, // the turns after it
     requests: FxHashMap<RequestId, Request>,
     due: BTreeSet<(Duration, RequestId, u8)>, // when attempts out become overdue
-    buckets: Vec<Bucket>,
+    admission: Admission,
+    room: Room,
     classes: Vec<Learned>,
-    stated: f64,   // what all tenants together may ask of this balancer a second
-    rate: f64,     // C for each unit of turn weight
-    done: f64,     // completions of the running tick
-    rate_now: f64, // completions a second, smoothed
-    room: f64,     // W
-    missing: f64,  // part of what is held that is too much, smoothed
+    stated: f64, // what all tenants together may ask of this balancer a second
     retries: f64,
     ticking: bool,
     last_tick: f64,
@@ -150,23 +122,11 @@
     stale: StaleConnections,
 }
 
-/// Seconds of a tenant's guarantee that its bucket holds.
-fn bucket_over(set: &Settings) -> f64 {
-    set.classes.iter().map(|c| c.aim.as_secs_f64()).fold(0.0, f64::max).min(BUCKET_OVER)
-}
-
 impl Balancer {
     /// A balancer with these settings; `seed` is its only source of chance.
     pub fn new(set: Settings, seed: u64) -> Result<Self, SettingsError> {
         set.check()?;
-        let count = set.tenants.len().max(1);
         let stated: f64 = set.tenants.iter().map(|t| t.allowance_per_s).filter(|a| a.is_finite()).sum();
-        let buckets = (0..count).map(|i| {
-            let stated = set.tenants.get(i).map_or(0.0, |t| t.allowance_per_s);
-            let guarantee = if stated > 0.0 { stated / f64::from(set.balancers) } else { 1.0 };
-            let tokens = BUCKET_LEAST + guarantee * bucket_over(&set); // full
-            Bucket { tokens, part: guarantee, guarantee, ..Bucket::default() }
-        });
         let classes = set.classes.iter().map(|c| {
             let aim = c.aim.as_secs_f64();
             Learned { latency: aim * 0.3, usual: aim * OVERDUE_BY, share: 1.0, ..Learned::default() }
@@ -175,9 +135,9 @@
         Ok(Self {
             subset_least: (SUBSET_EACH * each).clamp(SUBSET_LEAST, 1e6) as usize,
             rng: Chance::with_seed(seed),
-            buckets: buckets.collect(),
+            admission: Admission::new(&set),
+            room: Room::new(each),
             classes: classes.collect(),
-            rate_now: each,
             stated: each,
             set,
             retries: RETRY_SAVED.0,
@@ -227,15 +187,12 @@
             self.out.push(Action::Fail { id });
             return;
         }
-        let tenant = tenant.min(self.buckets.len() - 1);
-        let bucket = &mut self.buckets[tenant];
-        bucket.arrivals += 1.0;
-        let turn = if bucket.tokens >= 1.0 { self.next_turn(class) } else { None };
+        let turn = if self.admission.arrival(tenant) { self.next_turn(class) } else { None };
         let Some(turn) = turn else {
             self.refuse(id, left);
             return;
         };
-        self.buckets[tenant].tokens -= 1.0;
+        self.admission.take_token(tenant);
         let most = (RETRY_OVER * RETRY_SHARE * self.stated).clamp(RETRY_SAVED.0, RETRY_SAVED.1);
         self.retries = (self.retries + RETRY_SHARE).min(most);
         for (k, learned) in self.classes.iter_mut().enumerate() {
@@ -277,96 +234,34 @@
         self.out.push(Action::Timer { after: Duration::from_secs_f64(TICK), timer: TICK_TIMER });
     }
 
-    /// Mean latency over the classes as they are admitted.
-    fn latency(&self) -> f64 {
-        let shares: f64 = self.classes.iter().map(|l| l.share).sum();
-        self.classes.iter().map(|l| l.latency * l.share).sum::<f64>() / shares.max(1e-9)
+    /// Estimates the room W and refills the buckets from it.
+    fn grant(&mut self, tau: f64) {
+        self.fade_latencies(tau);
+        let upstreams: Vec<&Upstream> = self.turns.iter().map(|j| &self.ring[*j]).collect();
+        let utilization = mean_utilization(upstreams.iter().copied(), self.at);
+        let latency = self.latency(if utilization.is_some() { ROOM_TOLD } else { ROOM });
+        self.room.estimate(tau, &self.set, &latency, utilization, &upstreams);
+        self.admission.refill(tau, &self.room);
     }
 
-    /// W = sum of (tau C_j + (Q_j - q_j)) in this balancer's own share, then u_i for each tenant.
-    fn grant(&mut self, tau: f64) {
-        let at = self.at;
-        // What nothing new is heard of fades: else W under nil admits nothing that could tell otherwise.
-        for (c, l) in self.set.classes.iter().zip(&mut self.classes).filter(|(_, l)| at > l.at + HEARD) {
-            l.latency -= (tau / HEARD).min(1.0) * (l.latency - 0.5 * ROOM * c.aim.as_secs_f64()).max(0.0);
-        }
-        // Queues are shared: the class whose answers come closest to its aim sets how much they may grow.
-        let classes = self.set.classes.iter().zip(&self.classes).filter(|(_, l)| l.share > SHARE_LEAST);
-        let utilization = self.utilization();
-        let told = utilization.is_some();
-        let part = if told { ROOM_TOLD } else { ROOM };
-        let slack =
-            classes.map(|(c, l)| part * c.aim.as_secs_f64() - l.latency).fold(f64::INFINITY, f64::min);
-        let mut within = (self.latency() + slack).max(0.0);
-        let weights = self.turns.iter().map(|j| self.ring[*j].weight).sum::<f64>().max(1e-9);
-        // A loss is followed at once: until it is, what is admitted for what was lost fills the queues.
-        self.rate_now += (tau / DEMAND_OVER).min(1.0) * (self.done / tau.max(1e-6) - self.rate_now);
-        self.done = 0.0;
-        let seen = self.rate_now / weights;
-        if let Some(utilization) = utilization {
-            let busy = BUSY + BUSY_MORE * self.set.over_share_worth.min(0.5);
-            // A rate once reached under load would go on admitting what turns a crowded upstream slow.
-            let able = seen * (busy / utilization.max(0.1)).min(2.0);
-            self.rate = (self.rate + (tau / RATE_OVER).min(1.0) * (able - self.rate)).min(able);
-            within = within.min(self.latency());
-        } else if slack < 0.0 {
-            self.rate = seen;
-        } else {
-            self.rate = (self.rate + (tau / RATE_KEPT).min(1.0) * (seen - self.rate)).max(seen);
-        }
-        let (mut room, mut taken, balancers) = (0.0, 0.0, f64::from(self.set.balancers));
-        for u in self.turns.iter().map(|j| &self.ring[*j]).filter(|u| u.weight > 0.0) {
-            let c = self.rate * u.weight;
-            // One place in all at least: where nothing is stated a start from nothing takes long. One whose
-            // requests are overdue has no room, in part or all, but what it holds is held: else, when all
-            // are stuck, W and what is missing are nil together and no guarantee is cut.
-            let held = f64::from(u.in_flight) + u.ghosts;
-            let free = 1.0 - (f64::from(u.overdue) + u.ghosts) / held.max(1.0);
-            let all = (c * within).max(u.weight / balancers) * free;
-            room += tau * c * free + all - held;
-            taken += held;
-        }
-        self.room = room;
-        let total: f64 = self.buckets.iter().map(|b| b.demand).sum();
-        // Long enough to hold a few requests: a tenant that happened to be silent is not without demand.
-        let over = DEMAND_OVER.max(DEMAND_COUNT / total.max(0.1));
-        // Where room is missing, those over their guarantee lose it first; the rest too when much is missing,
-        // as after the loss of half the fleet: nobody is served from full queues.
-        let missing = (-room / f64::max(taken, 1e-9)).max(0.0);
-        // Where the middle tenant asks for more than its part, this balancer carries more; no tenant surges.
-        let mut asks: Vec<f64> = self.buckets.iter().map(|b| b.demand / b.part.max(1e-9)).collect();
-        asks.sort_by(f64::total_cmp);
-        let more = (asks.get(asks.len() / 2).unwrap_or(&1.0) * PART_SPARE).clamp(1.0, PART_MOST);
-        // ... unless much is missing: then all surge, as with retries in a jam.
-        let more = 1.0 + (more - 1.0) * (1.0 - missing).max(0.0);
-        self.buckets.iter_mut().for_each(|b| b.guarantee = b.part * more);
-        // What was saved up would go on being admitted for seconds: buckets shrink too, inside the guarantees
-        // by what the surge of others does not account for.
-        self.missing += (tau / MISSING_OVER).min(1.0) * (missing.min(1.0) - self.missing);
-        let surge: f64 = self.buckets.iter().map(|b| (b.demand - b.guarantee).max(0.0)).sum();
-        for b in &mut self.buckets {
-            let from = CUT_FROM + if b.demand > b.guarantee { 0.0 } else { surge / total.max(1e-9) };
-            let part = (1.0 - CUT.1 * (self.missing - from)).clamp(0.0, 1.0);
-            let saved = (BUCKET * b.demand).max(b.guarantee * bucket_over(&self.set));
-            let size = part * (BUCKET_LEAST + saved); // T_i
-            b.tokens = b.tokens.min(size);
-            let cut = if b.demand > b.guarantee { CUT.0 * missing } else { CUT.1 * (missing - CUT_FROM) };
-            let share = if total > 0.0 { b.demand / total } else { 0.0 };
-            // Only whole tokens count against a share of W under one request: else it stops short of one.
-            let open = (room - b.tokens.floor()).max(0.0);
-            let grant = (1.0 - cut).clamp(0.0, 1.0) * b.guarantee * tau + share * open;
-            b.tokens += grant.min((size - b.tokens).max(0.0));
-            b.demand += (tau / over).min(1.0) * (b.arrivals / tau.max(1e-6) - b.demand);
-            b.arrivals = 0.0;
+    /// What nothing new is heard of fades: else W under nil admits nothing that could tell otherwise.
+    fn fade_latencies(&mut self, tau: f64) {
+        for (class, learned) in self.set.classes.iter().zip(&mut self.classes) {
+            if self.at > learned.at + HEARD {
+                let low = 0.5 * ROOM * class.aim.as_secs_f64();
+                learned.latency -= (tau / HEARD).min(1.0) * (learned.latency - low).max(0.0);
+            }
         }
     }
 
-    /// Mean share of their cores that the upstreams in turn use, by the latest report of each.
-    fn utilization(&self) -> Option<f64> {
-        let heard = |u: &&Upstream| u.weight > 0.0 && self.at - u.utilization_at < BUSY_KEPT;
-        let told = self.turns.iter().map(|j| &self.ring[*j]).filter(heard);
-        let (count, sum) = told.fold((0.0, 0.0), |(count, sum), u| (count + 1.0, sum + u.utilization));
-        (count > 0.0).then(|| sum / count)
+    /// The mean latency over the classes as they are admitted, and what is left to the one whose answers come
+    /// closest to this part of its aim: queues are shared, so that class sets how much they may grow.
+    fn latency(&self, part_of_aim: f64) -> Latency {
+        let shares: f64 = self.classes.iter().map(|l| l.share).sum();
+        let mean = self.classes.iter().map(|l| l.latency * l.share).sum::<f64>() / shares.max(1e-9);
+        let admitted = self.set.classes.iter().zip(&self.classes).filter(|(_, l)| l.share > SHARE_LEAST);
+        let slacks = admitted.map(|(c, l)| part_of_aim * c.aim.as_secs_f64() - l.latency);
+        Latency { mean, slack: slacks.fold(f64::INFINITY, f64::min) }
     }
 
     /// What each upstream can do now, and the turns it gets for it.
@@ -380,14 +275,15 @@
         let (fade, cold_from) = ((-tau / PACE_KEPT).exp(), self.set.cold_from.min(1.0));
         let aim = self.set.classes.iter().map(|c| c.aim.as_secs_f64()).fold(f64::INFINITY, f64::min);
         let laid = (-tau / aim).exp();
-        let usual_utilization = self.utilization().map_or(1.0, |utilization| utilization.max(0.1));
+        let usual_utilization =
+            mean_utilization(turns(), self.at).map_or(1.0, |utilization| utilization.max(UTILIZATION_LEAST));
         // Not past the multiple at which it falls: it may be able to do no more than what is stated.
         let ramp_most = self.set.fall_multiple.max(1.0);
         for j in &self.turns {
             let u = &mut self.ring[*j];
             if u.started.is_none() {
                 u.ramp_scale = 1.0;
-            } else if self.at - u.utilization_at < BUSY_KEPT {
+            } else if self.at - u.utilization_at < REPORT_STANDS {
                 // What is stated is the least that it can do: it may work as hard as the others.
                 let spare = (usual_utilization - u.utilization) / usual_utilization;
                 let scale = u.ramp_scale * (RAMP_FOLLOW * tau * spare).exp();
@@ -411,7 +307,7 @@
         let warm =
             self.turns.iter().map(|j| &self.ring[*j]).filter(|u| u.weight > 0.0 && u.started.is_none());
         let (warm_rate, warm) = warm.fold((0.0, 0.0), |(sum, n), u| (sum + u.weight, n + 1.0));
-        let seen = if warm > 0.0 { self.rate * warm_rate / warm } else { self.rate };
+        let seen = if warm > 0.0 { self.room.rate() * warm_rate / warm } else { self.room.rate() };
         let each = seen.max(self.stated / f64::max(self.turns.len() as f64, 1.0));
         let cold = COLD_SHARE * self.set.fall_multiple;
         for j in &self.turns {
@@ -597,7 +493,7 @@
             self.due.insert((self.now + after, id, attempt));
         }
         // A second copy is one more request: where room is missing it makes others overdue.
-        if !again && self.set.hedging && self.room > 0.0 {
+        if !again && self.set.hedging && self.room.free() > 0.0 {
             self.further(id, 1.0);
         }
     }
@@ -656,7 +552,7 @@
         let ratio = latency / learned.latency.max(1e-6);
         let ok = outcome == Outcome::Ok;
         if ok {
-            self.done += 1.0;
+            self.room.completed();
             learned.answers += ANSWERS_NEWEST * (latency - learned.answers);
         }
         let slow = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) && overdue;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,9 +67,11 @@
 //! one of them), and end an attempt as [`Outcome::TimedOut`] at its time-out or, at the latest, at the client's
 //! deadline. `Balancer` gives each request exactly one final answer on these terms.
 
+mod admission;
 mod choice;
 mod discovery_schedule;
 mod interface;
+mod room;
 mod stale_connections;
 mod state;
 mod stats;
--- a/src/state.rs
+++ b/src/state.rs
@@ -87,16 +87,6 @@
     pub(crate) streaming: bool,
 }
 
-/// The token bucket of a tenant.
-#[derive(Default)]
-pub(crate) struct Bucket {
-    pub(crate) tokens: f64,    // mu_i
-    pub(crate) arrivals: f64,  // V_i of the running tick
-    pub(crate) demand: f64,    // V_i a second, smoothed
-    pub(crate) part: f64,      // this balancer's equal part of the tenant's allowance, a second
-    pub(crate) guarantee: f64, // u_g_i a second
-}
-
 /// What was learned of a class of requests.
 #[derive(Default)]
 pub(crate) struct Learned {
