Share the set-up of a leaving server and the check for calls back among tests

No change of behaviour, and no assertion changes: two tests of node/src/server.rs built the same leaving server line by line, and two of tests/failures.rs checked in the same words that an attempt is not called back.

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -277,13 +277,13 @@
     use crate::discovery::{Discovery, News};
     use crate::upstream::Upstreams;
     use lapisroute::Balancer;
+    use std::net::SocketAddr;
     use std::pin::pin;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::task::JoinHandle;
 
-    /// Guards the clients of a balancer that leaves: a connection in use goes on until this one is closing, as
-    /// there may be no other balancer ready as yet, and ends between requests then.
-    #[tokio::test(flavor = "local")]
-    async fn connections_outlast_the_leave_and_end_with_the_close() {
+    /// A server in its leave with no upstreams: its address, its phase and its task.
+    async fn leaving_server() -> (SocketAddr, watch::Sender<Phase>, JoinHandle<()>) {
         let site = lapisroute_settings::parse(r#"{"classes":[{"name":"look"}]}"#).unwrap();
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
@@ -293,6 +293,14 @@
         let driver = Driver::start(balancer, upstreams, discovery, News::failed(), true);
         let (phase, phases) = watch::channel(Phase::Leaving);
         let serving = spawn_local(Server::new(driver, &site, phases).run(listener, 8));
+        (address, phase, serving)
+    }
+
+    /// Guards the clients of a balancer that leaves: a connection in use goes on until this one is closing, as
+    /// there may be no other balancer ready as yet, and ends between requests then.
+    #[tokio::test(flavor = "local")]
+    async fn connections_outlast_the_leave_and_end_with_the_close() {
+        let (address, phase, serving) = leaving_server().await;
         let mut client = TcpStream::connect(address).await.unwrap();
         for (path, status) in [("ready", "503"), ("live", "200"), ("ready", "503")] {
             let request = format!("GET /health/{path} HTTP/1.1\r\nHost: app.svc\r\n\r\n");
@@ -418,15 +426,7 @@
     #[tokio::test(flavor = "local")]
     async fn requests_that_cross_the_close_are_answered() {
         const LIVE: &[u8] = b"GET /health/live HTTP/1.1\r\nHost: app.svc\r\n\r\n";
-        let site = lapisroute_settings::parse(r#"{"classes":[{"name":"look"}]}"#).unwrap();
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let upstreams = Upstreams::new(&site.settings, 8, 0);
-        let discovery = Discovery::new(address, site.names.clone());
-        let balancer = Balancer::new(site.settings.clone(), 7).unwrap();
-        let driver = Driver::start(balancer, upstreams, discovery, News::failed(), true);
-        let (phase, phases) = watch::channel(Phase::Leaving);
-        let serving = spawn_local(Server::new(driver, &site, phases).run(listener, 8));
+        let (address, phase, serving) = leaving_server().await;
         let mut used = TcpStream::connect(address).await.unwrap();
         used.write_all(LIVE).await.unwrap();
         assert!(used.read(&mut [0; 1024]).await.unwrap() > 0);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -191,6 +191,13 @@
     }
 }
 
+/// Lets the `step`th 10 ms go on, in which a request's first attempt is not called back.
+fn run_uncancelled(bench: &mut Bench, id: RequestId, step: u32) {
+    bench.run(ms(10));
+    let called_back = Action::Cancel { id, attempt: AttemptNo(0) };
+    assert!(!bench.actions.contains(&called_back), "after {step}0 ms");
+}
+
 /// Guards a fleet of many balancers, each of which has an answer from an upstream only now and then, against calling
 /// back what is merely slow: the work goes on, and is done again elsewhere. No answer for a moment is no silence there.
 #[test]
@@ -203,11 +210,7 @@
     let slow = bench.request(0, 0, ms(1000));
     let upstream = bench.at(slow, 0).expect("sent");
     for k in 1..=60 {
-        bench.run(ms(10));
-        assert!(
-            !bench.actions.contains(&Action::Cancel { id: slow, attempt: AttemptNo(0) }),
-            "after {k}0 ms"
-        );
+        run_uncancelled(&mut bench, slow, k);
         if k % 10 == 0 {
             let other = bench.request(0, 0, ms(1000));
             if bench.at(other, 0).is_some_and(|u| u != upstream) {
@@ -227,11 +230,7 @@
     let mut bench = Bench::new(set, &fleet(8));
     let slow = bench.request(0, 0, ms(1000));
     for k in 1..=90 {
-        bench.run(ms(10));
-        assert!(
-            !bench.actions.contains(&Action::Cancel { id: slow, attempt: AttemptNo(0) }),
-            "after {k}0 ms"
-        );
+        run_uncancelled(&mut bench, slow, k);
     }
     assert_eq!(bench.sent[&slow].len(), 1, "the work is asked for once");
 }
