Log lists, watches and final answers, and count what is done with each request

Logged now at level info: each list with version, scope, states and bytes; the beginning and the end of each watch with the version in hand; every 10 s the counters that have changed. At debug: each request with its correlation id, each attempt, its outcome, the final answer and why it was refused, and attempts withheld from an upstream that is not ready. No decision changes.

--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -298,7 +298,7 @@
             reply.extend(id.0.to_be_bytes());
             reply.push(attempt.0);
         }
-        Action::Refuse { id, retry_after } => {
+        Action::Refuse { id, retry_after, .. } => {
             head(reply, 65, instance);
             reply.extend(id.0.to_be_bytes());
             reply.extend(retry_after.map_or(0f64.to_be_bytes(), to_ms));
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -1,6 +1,7 @@
 //! Discovery: the whole list when asked for it, and the watch on its changes.
 
 use crate::connection::Connection;
+use crate::metrics::Metrics;
 use crate::seldom::Seldom;
 use crate::upstream::Place;
 use bytes::{Bytes, BytesMut};
@@ -15,6 +16,7 @@
 use std::cell::{Cell, RefCell};
 use std::error::Error;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -108,22 +110,34 @@
     rev: Cell<u64>,
     watch: RefCell<Option<AbortHandle>>,
     odd: Seldom,
+    metrics: Rc<Metrics>,
 }
 
 type Failure = Box<dyn Error + Send + Sync>;
 
 impl Discovery {
     /// Discovery at an address; `names` turn zones and kinds into numbers.
-    pub fn new(address: SocketAddr, names: Names) -> Self {
+    pub fn new(address: SocketAddr, names: Names, metrics: Rc<Metrics>) -> Self {
         Self {
             address: Cell::new(address),
             names,
             rev: Cell::new(0),
             watch: RefCell::default(),
             odd: Seldom::default(),
+            metrics,
         }
     }
 
+    /// The metrics that this balancer counts in.
+    pub fn metrics(&self) -> &Rc<Metrics> {
+        &self.metrics
+    }
+
+    /// The version of the list in hand; 0: none.
+    pub fn version(&self) -> u64 {
+        self.rev.get()
+    }
+
     /// Reads a list. An entry that can't be read is skipped; a list that can't be read is an error.
     fn read(&self, text: &str) -> Result<News, Failure> {
         let list: RawList<'_> = serde_json::from_str(text)?;
@@ -131,9 +145,11 @@
             let entry = self.entry(raw.get());
             entry.map_err(|e| self.odd.warn(|| format!("unreadable list entry: {e}"))).ok()
         });
-        let entries = entries.collect();
+        let entries: Vec<Entry> = entries.collect();
         self.rev.set(list.rev);
-        Ok(News { scope: if list.all { FleetScope::Full } else { FleetScope::Changes }, entries })
+        let scope = if list.all { FleetScope::Full } else { FleetScope::Changes };
+        self.note_list(scope, &entries, text.len());
+        Ok(News { scope, entries })
     }
 
     fn entry(&self, text: &str) -> Result<Entry, Failure> {
@@ -172,6 +188,22 @@
         News { scope: FleetScope::Cached, entries }
     }
 
+    fn note_list(&self, scope: FleetScope, entries: &[Entry], bytes: usize) {
+        let in_state = |state| entries.iter().filter(|entry| entry.place.availability == state).count();
+        tracing::info!(
+            version = self.rev.get(),
+            ?scope,
+            ready = in_state(Availability::Ready),
+            draining = in_state(Availability::Draining),
+            gone = in_state(Availability::Gone),
+            bytes,
+            "list read"
+        );
+        self.metrics.lists.inc();
+        self.metrics.list_bytes.inc_by(bytes as u64);
+        self.metrics.list_version.set(self.rev.get() as i64);
+    }
+
     /// Asks for the whole list.
     pub async fn fetch(&self) -> News {
         let read = async {
@@ -204,13 +236,18 @@
 
     /// Watches the list until the watch ends, and tells what comes.
     pub async fn watch(&self, tell: impl FnMut(News)) {
-        if let Err(e) = self.follow(tell).await {
-            self.odd.warn(|| format!("watch ended: {e}"));
+        let ended = self.follow(tell).await;
+        self.metrics.discovery_failures.inc();
+        match ended {
+            Ok(()) => tracing::info!(version = self.rev.get(), "watch ended by discovery"),
+            Err(e) => self.odd.warn(|| format!("watch ended at version {}: {e}", self.rev.get())),
         }
     }
 
     async fn follow(&self, mut tell: impl FnMut(News)) -> Result<(), Failure> {
         let target = format!("/registry/instances?stream=1&index={}", self.rev.get());
+        self.metrics.discovery_calls.inc();
+        tracing::info!(address = %self.address.get(), index = self.rev.get(), "watch begins");
         let (_connection, mut body) = timeout(HEAD_MOST, self.ask(&target)).await??;
         let (mut pending, mut last_word) = (BytesMut::new(), Instant::now());
         while let Some(frame) = timeout_at(last_word + SILENCE_MOST, body.frame()).await? {
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -5,10 +5,12 @@
 //! is never entered twice; tasks only ever add to the queue.
 
 use crate::discovery::{Discovery, News};
+use crate::headers::CORRELATION_ID;
+use crate::metrics::{AnswerKind, Metrics};
 use crate::upstream::{Ended, Outgoing, Served, Upstreams};
 use lapisroute::{
-    Action, AttemptNo, Balancer, ClassId, Event, FleetScope, Listed, Outcome, RequestId, TenantId, TimerId,
-    UpstreamId,
+    Action, AttemptNo, Balancer, ClassId, Event, FleetScope, Listed, Outcome, RefusalCause, RequestId,
+    TenantId, TimerId, UpstreamId,
 };
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
@@ -51,12 +53,27 @@
 pub enum Answer {
     /// An upstream's.
     Served(Served),
-    /// Trying again is harmless, after some time if one is given.
-    Refused(Option<Duration>),
+    /// Trying again is harmless.
+    Refused {
+        /// How long the client should stay away.
+        retry_after: Option<Duration>,
+        /// Why.
+        cause: RefusalCause,
+    },
     /// Nothing is promised.
     Failed,
 }
 
+impl Answer {
+    fn kind(&self) -> AnswerKind {
+        match self {
+            Self::Served(_) => AnswerKind::Served,
+            Self::Refused { cause, .. } => AnswerKind::from(*cause),
+            Self::Failed => AnswerKind::Failed,
+        }
+    }
+}
+
 /// A request for the module to decide on.
 pub struct Asked {
     /// Its class.
@@ -123,6 +140,7 @@
     asks: bool,
     /// Set when what is held has to end.
     cut_off: watch::Sender<bool>,
+    metrics: Rc<Metrics>,
 }
 
 impl Driver {
@@ -135,6 +153,7 @@
         asks: bool,
     ) -> Rc<Self> {
         let start_unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let metrics = Rc::clone(discovery.metrics());
         let core = Core { balancer, requests: FxHashMap::default(), actions: Vec::new(), next_id: 0 };
         let driver = Rc::new(Self {
             clock: Clock { start: Instant::now(), start_unix },
@@ -145,6 +164,7 @@
             discovery,
             asks,
             cut_off: watch::Sender::new(false),
+            metrics,
         });
         let sweeper = Rc::clone(&driver);
         spawn_local(async move { sweeper.upstreams.sweep().await });
@@ -206,6 +226,9 @@
             Happening::Asked(id) => {
                 let Some(held) = core.requests.get(&id) else { return };
                 let asked = &held.asked;
+                self.metrics.requests.inc();
+                let correlation_id = asked.outgoing.headers.get(CORRELATION_ID);
+                tracing::debug!(id = id.0, ?correlation_id, class = asked.class.0, "request");
                 let event = Event::Request {
                     id,
                     class: asked.class,
@@ -225,12 +248,12 @@
                 attempt.out = false;
                 let (upstream, latency) = (attempt.upstream, attempt.sent.elapsed());
                 tracing::debug!(id = id.0, no = no.0, upstream = upstream.0, ?latency, outcome = ?ended.outcome);
+                self.metrics.attempt_ended(ended.outcome.into());
                 // A second copy's answer comes to a request that is over: it is dropped.
                 if let Some(served) = ended.served
                     && let Some(reply) = held.reply.take()
                 {
-                    // Where the client has just gone, nobody waits for it.
-                    let _ = reply.answer.send(Answer::Served(served));
+                    self.reply(id, reply, Answer::Served(served));
                 }
                 let finished = held.reply.is_none();
                 let event = Event::AttemptEnded {
@@ -253,6 +276,8 @@
             Happening::Gone(id) => {
                 let Some(held) = core.requests.get_mut(&id) else { return };
                 if held.reply.take().is_some() {
+                    tracing::debug!(id = id.0, "the client has left");
+                    self.metrics.answered(AnswerKind::ClientLeft);
                     core.balancer.handle(now, Event::RequestGone { id }, &mut actions);
                 }
                 self.forget_if_over(core, id);
@@ -297,7 +322,9 @@
                     self.queue.borrow_mut().push_back(cancelled);
                 }
             }
-            Action::Refuse { id, retry_after } => self.answer(core, id, Answer::Refused(retry_after)),
+            Action::Refuse { id, retry_after, cause } => {
+                self.answer(core, id, Answer::Refused { retry_after, cause });
+            }
             Action::Fail { id } => self.answer(core, id, Answer::Failed),
             Action::Timer { after, timer } => {
                 let driver = Rc::clone(self);
@@ -375,16 +402,26 @@
             };
             driver.happened(Happening::AttemptEnded(id, no, ended));
         });
+        tracing::debug!(id = id.0, no = no.0, upstream = upstream.0, "attempt");
+        self.metrics.further_attempts.inc_by(u64::from(no.0 > 0));
         held.attempts.push(Attempt { upstream, sent, task: task.abort_handle(), out: true });
     }
 
     fn answer(&self, core: &mut Core, id: RequestId, answer: Answer) {
         if let Some(reply) = core.requests.get_mut(&id).and_then(|held| held.reply.take()) {
-            let _ = reply.answer.send(answer);
+            self.reply(id, reply, answer);
         }
         self.forget_if_over(core, id);
     }
 
+    fn reply(&self, id: RequestId, reply: Reply, answer: Answer) {
+        let kind = answer.kind();
+        tracing::debug!(id = id.0, ?kind, "final answer");
+        self.metrics.answered(kind);
+        // Where the client has just gone, nobody waits for it.
+        let _ = reply.answer.send(answer);
+    }
+
     /// Lets go of a request that has its answer and no attempt out.
     fn forget_if_over(&self, core: &mut Core, id: RequestId) {
         let over = |held: &Held| held.reply.is_none() && held.attempts.iter().all(|a| !a.out);
@@ -450,9 +487,9 @@
         let site =
             lapisroute_settings::parse(&format!(r#"{{"classes":[{{"name":"look"}}],{asking}}}"#)).unwrap();
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let discovery = Discovery::new(listener.local_addr().unwrap(), site.names.clone());
+        let discovery = Discovery::new(listener.local_addr().unwrap(), site.names.clone(), Rc::default());
         let balancer = Balancer::new(site.settings.clone(), 7).unwrap();
-        let upstreams = Upstreams::new(&site.settings, 8, 0);
+        let upstreams = Upstreams::new(&site.settings, 8, 0, Rc::default());
         let asks = site.settings.ask_for_fleet;
         (Driver::start(balancer, upstreams, discovery, News::failed(), asks), listener)
     }
@@ -563,13 +600,14 @@
         let site = lapisroute_settings::parse(&format!(r#"{{"classes":[{class}],{rest}}}"#)).unwrap();
         let upstream = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let endpoint = upstream.local_addr().unwrap();
-        let discovery = Discovery::new(endpoint, site.names.clone());
+        let discovery = Discovery::new(endpoint, site.names.clone(), Rc::default());
         let entry = format!(r#"{{"uid":"s-0","endpoint":"{endpoint}","state":"Ready"}}"#);
         let known = discovery.known(&format!(r#"{{"rev":1,"all":true,"targets":[{entry}]}}"#));
         let mut settings = site.settings.clone();
         settings.connect_timeout = LONG;
         let balancer = Balancer::new(settings.clone(), 7).unwrap();
-        let driver = Driver::start(balancer, Upstreams::new(&settings, 1, 0), discovery, known, true);
+        let driver =
+            Driver::start(balancer, Upstreams::new(&settings, 1, 0, Rc::default()), discovery, known, true);
         let first = driver.ask(asked("/first"));
         let (mut stream, _) = upstream.accept().await.unwrap();
         assert!(read(&mut stream).await.starts_with("POST /first"));
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -6,6 +6,7 @@
 mod discovery;
 mod driver;
 mod headers;
+mod metrics;
 mod pool;
 mod requests;
 mod seldom;
@@ -16,6 +17,7 @@
 use discovery::Discovery;
 use driver::Driver;
 use lapisroute::Balancer;
+use metrics::Metrics;
 use server::{Phase, Server};
 use std::error::Error;
 use std::process::ExitCode;
@@ -72,17 +74,21 @@
     let hangup = signal(SignalKind::hangup())?;
     let listener =
         TcpListener::bind(config.listen).await.map_err(|e| format!("listen on {}: {e}", config.listen))?;
-    let upstreams =
-        Upstreams::new(&config.site.settings, config.upstream_connections(), config.long_answers());
-    let discovery = Discovery::new(config.discovery, config.site.names.clone());
+    let metrics = Rc::new(Metrics::default());
+    let settings = &config.site.settings;
+    let (connections, long_answers) = (config.upstream_connections(), config.long_answers());
+    let upstreams = Upstreams::new(settings, connections, long_answers, Rc::clone(&metrics));
+    let discovery = Discovery::new(config.discovery, config.site.names.clone(), Rc::clone(&metrics));
     let known = discovery.known(&config.known);
     tracing::info!(
         listen = %listener.local_addr()?,
         upstreams = known.entries.len(),
+        version = discovery.version(),
         limits = ?config.limits,
         "serving"
     );
-    let driver = Driver::start(balancer, upstreams, discovery, known, config.site.settings.ask_for_fleet);
+    let driver = Driver::start(balancer, upstreams, discovery, known, settings.ask_for_fleet);
+    spawn_local(async move { metrics.log_changes().await });
     let (phase, phases) = watch::channel(Phase::Serving);
     let server = Server::new(driver.clone(), &config.site, phases);
     let mut accepting = spawn_local(server.run(listener, config.client_connections()));
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -259,7 +259,7 @@
             *response.headers_mut() = served.headers;
             response
         }
-        Answer::Refused(retry_after) => {
+        Answer::Refused { retry_after, .. } => {
             let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
             let value = retry_after.and_then(|t| format!("{:.3}", t.as_secs_f64()).parse().ok());
             if let Some(value) = value {
@@ -287,8 +287,8 @@
         let site = lapisroute_settings::parse(r#"{"classes":[{"name":"look"}]}"#).unwrap();
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let upstreams = Upstreams::new(&site.settings, 8, 0);
-        let discovery = Discovery::new(address, site.names.clone());
+        let upstreams = Upstreams::new(&site.settings, 8, 0, Rc::default());
+        let discovery = Discovery::new(address, site.names.clone(), Rc::default());
         let balancer = Balancer::new(site.settings.clone(), 7).unwrap();
         let driver = Driver::start(balancer, upstreams, discovery, News::failed(), true);
         let (phase, phases) = watch::channel(Phase::Leaving);
@@ -328,8 +328,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let upstream = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let upstreams = Upstreams::new(&site.settings, 8, 0);
-        let discovery = Discovery::new(address, site.names.clone());
+        let upstreams = Upstreams::new(&site.settings, 8, 0, Rc::default());
+        let discovery = Discovery::new(address, site.names.clone(), Rc::default());
         let endpoint = upstream.local_addr().unwrap();
         let entry = format!(r#"{{"uid":"s-0","endpoint":"{endpoint}","state":"Ready"}}"#);
         let known = discovery.known(&format!(r#"{{"rev":1,"all":true,"targets":[{entry}]}}"#));
@@ -376,11 +376,11 @@
                 format!(r#"{{"uid":"s-{k}","endpoint":"{}","state":"Ready"}}"#, peer.local_addr().unwrap())
             });
             let entries: Vec<_> = entries.collect();
-            let discovery = Discovery::new(address, site.names.clone());
+            let discovery = Discovery::new(address, site.names.clone(), Rc::default());
             let known =
                 discovery.known(&format!(r#"{{"rev":1,"all":true,"targets":[{}]}}"#, entries.join(",")));
             let balancer = Balancer::new(site.settings.clone(), 7).unwrap();
-            let upstreams = Upstreams::new(&site.settings, 8, 0);
+            let upstreams = Upstreams::new(&site.settings, 8, 0, Rc::default());
             let driver = Driver::start(balancer, upstreams, discovery, known, true);
             let (phase, phases) = watch::channel(Phase::Serving);
             spawn_local(Server::new(driver, &site, phases).run(listener, 8));
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -5,6 +5,7 @@
 
 use crate::connection::{Connection, wire_length};
 use crate::headers::{self, LOAD, TIME_LEFT, UNPROCESSED};
+use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::seldom::Seldom;
 use bytes::{Bytes, BytesMut};
@@ -102,12 +103,13 @@
     reports: Reports,
     report_fields: Vec<LoadField>,
     odd_reports: Seldom,
+    metrics: Rc<Metrics>,
 }
 
 impl Upstreams {
     /// None yet; at most `most_open` connections will be open to them together, and long answers in hand
     /// hold at most `long_answers` bytes.
-    pub fn new(settings: &Settings, most_open: usize, long_answers: usize) -> Self {
+    pub fn new(settings: &Settings, most_open: usize, long_answers: usize, metrics: Rc<Metrics>) -> Self {
         Self {
             known: RefCell::default(),
             pool: Pool::new(most_open, settings.conn_idle.mul_f64(IDLE_SHARE)),
@@ -116,6 +118,7 @@
             reports: settings.reports,
             report_fields: settings.report_fields.clone(),
             odd_reports: Seldom::default(),
+            metrics,
         }
     }
 
@@ -235,6 +238,10 @@
             };
             let left = give_up.saturating_duration_since(Instant::now());
             // The moment of writing: it may have begun to drain while the connection was made.
+            if !upstream.ready.get() {
+                tracing::debug!(upstream = id.0, "withheld: the upstream has begun to drain or is gone");
+                self.metrics.withheld_attempts.inc();
+            }
             if !upstream.ready.get() || left.is_zero() {
                 self.put_back(id, &upstream, boot_ms, connection);
                 return Outcome::NotSent.into();
@@ -485,7 +492,7 @@
     async fn upstreams(most_open: usize) -> (Rc<Upstreams>, TcpListener, Place) {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let settings = Settings { connect_timeout: LONG, conn_idle: LONG, ..Settings::default() };
-        let upstreams = Rc::new(Upstreams::new(&settings, most_open, 4 * BODY_MOST));
+        let upstreams = Rc::new(Upstreams::new(&settings, most_open, 4 * BODY_MOST, Rc::default()));
         let endpoint = Some(listener.local_addr().unwrap());
         let place = Place { endpoint, availability: Availability::Ready, boot_ms: 0 };
         upstreams.place(ID, &place);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -187,9 +187,12 @@
             self.out.push(Action::Fail { id });
             return;
         }
-        let turn = if self.admission.arrival(tenant) { self.next_turn(class) } else { None };
-        let Some(turn) = turn else {
-            self.refuse(id, left);
+        if !self.admission.arrival(tenant) {
+            self.refuse(id, left, RefusalCause::NoToken);
+            return;
+        }
+        let Some(turn) = self.next_turn(class) else {
+            self.refuse(id, left, RefusalCause::NoUpstream);
             return;
         };
         self.admission.take_token(tenant);
@@ -209,10 +212,10 @@
 
     /// A refusal always tells when to come back. The moment is spread by the request's own number, so that
     /// those refused together do not return together.
-    fn refuse(&mut self, id: RequestId, left: Duration) {
+    fn refuse(&mut self, id: RequestId, left: Duration, cause: RefusalCause) {
         let longest = self.set.max_retry_after.min(left / 2);
         let retry_after = longest.mul_f64(0.5 + 0.5 * Chance::with_seed(u64::from(id.0)).f64());
-        self.out.push(Action::Refuse { id, retry_after: Some(retry_after) });
+        self.out.push(Action::Refuse { id, retry_after: Some(retry_after), cause });
     }
 
     /// The tick: W and the grants, then the fleet's weights, overdue attempts and discovery.
@@ -527,7 +530,7 @@
         let safe = self.set.classes[r.class].effect == Effect::Idempotent;
         if safe || r.attempts.iter().all(|a| !a.may_have_run) {
             let left = (deadline - self.at).max(0.0);
-            self.refuse(id, Duration::from_secs_f64(left.min(1e6)));
+            self.refuse(id, Duration::from_secs_f64(left.min(1e6)), RefusalCause::NoFurtherAttempt);
         } else {
             self.out.push(Action::Fail { id });
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -479,6 +479,17 @@
     },
 }
 
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// Its tenant's bucket holds no token.
+    NoToken,
+    /// No upstream can take a turn.
+    NoUpstream,
+    /// None of its attempts has run, and no further one can be made.
+    NoFurtherAttempt,
+}
+
 /// Something [`Balancer`](crate::Balancer) wants done, in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -504,6 +515,8 @@
         id: RequestId,
         /// How long the client should stay away.
         retry_after: Option<Duration>,
+        /// Why.
+        cause: RefusalCause,
     },
     /// Final answer: failed; nothing is promised of the effect.
     Fail {
