Follow discovery's stream by an incremental parser: no piece of a list ends a watch

Cause: node/src/discovery.rs (follow) read what had come so far as JSON with each piece and took the error's category for the answer to whether more was to come. serde_json calls a text that ends behind a number's point, as in 1., a syntax error. A piece that ends there, one place in each entry, ended the watch and set the version back to 0, so that the whole list was told once more, in more pieces. A list of 180 upstreams is one or two pieces, of 2,800 dozens. A change so lost at a watch that had just begun waits for 250 ms besides. By the same way of reading, the work grew with length times pieces.

Change: node/src/json_messages.rs splits the stream with actson, each byte once; only whole objects are read. A long list has its 2.5 s from its first byte. Errors of discovery are typed. Ruled out: telling objects apart by brackets alone, which an_unreadable_line_has_the_list_asked_for_again failed on, as a broken list then looks unfinished for 2.5 s.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -1,10 +1,11 @@
 //! Discovery: the whole list when asked for it, and the watch on its changes.
 
 use crate::connection::Connection;
+use crate::json_messages::{JsonMessages, Part, SplitError};
 use crate::metrics::Metrics;
 use crate::seldom::Seldom;
 use crate::upstream::Place;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::HOST;
@@ -15,10 +16,13 @@
 use serde_json::value::RawValue;
 use std::cell::{Cell, RefCell};
 use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use thiserror::Error as ThisError;
 use tokio::task::AbortHandle;
+use tokio::time::error::Elapsed;
 use tokio::time::{Instant, timeout, timeout_at};
 
 /// A watch has a line to say every 2 s. Without one for this long, its first included, it is dead, whatever its
@@ -113,7 +117,45 @@
     metrics: Rc<Metrics>,
 }
 
-type Failure = Box<dyn Error + Send + Sync>;
+/// Why a call to discovery, or a watch, came to an end.
+#[derive(Debug, ThisError)]
+pub enum DiscoveryError {
+    /// Nothing that counts has come for too long.
+    #[error("silent for too long")]
+    Silent(#[from] Elapsed),
+    /// No connection.
+    #[error("no connection: {0}")]
+    Connect(#[from] io::Error),
+    /// The request can't be made.
+    #[error("{0}")]
+    Request(#[from] hyper::http::Error),
+    /// The exchange failed.
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    /// An answer other than 200.
+    #[error("status {0}")]
+    Status(StatusCode),
+    /// The answer's body failed or is too long.
+    #[error("the answer: {0}")]
+    Body(Box<dyn Error + Send + Sync>),
+    /// What came is no sequence of objects.
+    #[error("unreadable: {0}")]
+    Split(#[from] SplitError),
+    /// An object is no list.
+    #[error("unreadable list: {0}")]
+    List(#[from] serde_json::Error),
+}
+
+/// Why an entry of a list can't be taken as it is.
+#[derive(Debug, ThisError)]
+enum EntryError {
+    #[error("{0}")]
+    Json(#[from] serde_json::Error),
+    #[error("{uid}: unknown state {state:?}")]
+    State { uid: String, state: String },
+    #[error("{uid}: no address")]
+    NoAddress { uid: String },
+}
 
 impl Discovery {
     /// Discovery at an address; `names` turn zones and kinds into numbers.
@@ -139,8 +181,8 @@
     }
 
     /// Reads a list. An entry that can't be read is skipped; a list that can't be read is an error.
-    fn read(&self, text: &str) -> Result<News, Failure> {
-        let list: RawList<'_> = serde_json::from_str(text)?;
+    fn read(&self, text: &[u8]) -> Result<News, serde_json::Error> {
+        let list: RawList<'_> = serde_json::from_slice(text)?;
         let entries = list.targets.iter().filter_map(|raw| {
             let entry = self.entry(raw.get());
             entry.map_err(|e| self.odd.warn(|| format!("unreadable list entry: {e}"))).ok()
@@ -152,17 +194,17 @@
         Ok(News { scope, entries })
     }
 
-    fn entry(&self, text: &str) -> Result<Entry, Failure> {
+    fn entry(&self, text: &str) -> Result<Entry, EntryError> {
         let raw: RawEntry<'_> = serde_json::from_str(text)?;
         let availability = match raw.state.as_str() {
             "Ready" => Availability::Ready,
             "Terminating" => Availability::Draining,
             "Gone" => Availability::Gone,
-            other => return Err(format!("{}: unknown state {other:?}", raw.uid).into()),
+            _ => return Err(EntryError::State { uid: raw.uid, state: raw.state }),
         };
         let endpoint = raw.endpoint.and_then(|e| serde_json::from_str(e.get()).ok());
         if endpoint.is_none() && availability == Availability::Ready {
-            return Err(format!("{}: no address", raw.uid).into());
+            return Err(EntryError::NoAddress { uid: raw.uid });
         }
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
         Ok(Entry {
@@ -177,7 +219,7 @@
 
     /// The list from the configuration, as [`FleetScope::Cached`].
     pub fn known(&self, text: &str) -> News {
-        let read = if text.is_empty() { Ok(News::failed()) } else { self.read(text) };
+        let read = if text.is_empty() { Ok(News::failed()) } else { self.read(text.as_bytes()) };
         let entries = read.map_or_else(
             |e| {
                 tracing::warn!("the list known before the start is unreadable: {e}");
@@ -209,9 +251,9 @@
         let read = async {
             let (_connection, body) = timeout(HEAD_MOST, self.ask("/registry/instances")).await??;
             let body = http_body_util::Limited::new(body, LIST_MOST);
-            let text = timeout(SILENCE_MOST, body.collect()).await??.to_bytes();
-            let news = self.read(std::str::from_utf8(&text)?)?;
-            Ok::<_, Failure>(News { scope: FleetScope::Full, ..news })
+            let collected = timeout(SILENCE_MOST, body.collect()).await?;
+            let news = self.read(&collected.map_err(DiscoveryError::Body)?.to_bytes())?;
+            Ok::<_, DiscoveryError>(News { scope: FleetScope::Full, ..news })
         };
         read.await.unwrap_or_else(|e| {
             self.odd.warn(|| format!("no list: {e}"));
@@ -244,53 +286,52 @@
         }
     }
 
-    async fn follow(&self, mut tell: impl FnMut(News)) -> Result<(), Failure> {
+    async fn follow(&self, mut tell: impl FnMut(News)) -> Result<(), DiscoveryError> {
         let target = format!("/registry/instances?stream=1&index={}", self.rev.get());
         self.metrics.discovery_calls.inc();
         tracing::info!(address = %self.address.get(), index = self.rev.get(), "watch begins");
         let (_connection, mut body) = timeout(HEAD_MOST, self.ask(&target)).await??;
-        let (mut pending, mut last_word) = (BytesMut::new(), Instant::now());
+        let mut messages = JsonMessages::new(LIST_MOST);
+        let mut last_word = Instant::now();
         while let Some(frame) = timeout_at(last_word + SILENCE_MOST, body.frame()).await? {
             let Ok(data) = frame?.into_data() else { continue };
-            pending.extend_from_slice(&data);
-            // Lists may be indented, so that lines are no measure of where one ends.
-            let mut lists = serde_json::Deserializer::from_slice(&pending).into_iter::<&RawValue>();
-            let whole = loop {
-                let read = match lists.next() {
-                    None => break true,
-                    Some(Err(e)) if e.is_eof() => break false,
-                    Some(list) => list.map_err(Failure::from).and_then(|list| self.read(list.get())),
-                };
-                match read {
-                    Ok(news) => tell(news),
-                    Err(e) => {
-                        // What it said is missing now, a drain perhaps: the whole list is asked for again.
-                        self.rev.set(0);
-                        return Err(e);
-                    }
-                }
+            let began_before = messages.is_within_object();
+            messages.push(&data);
+            let heard = self.tell_whole(&mut messages, &mut tell).inspect_err(|_| {
+                // What it said is missing now, a drain perhaps: the whole list is asked for again.
+                self.rev.set(0);
+            })?;
+            // The beginning of a list is a word too: a long one takes its time from there.
+            if heard || (messages.is_within_object() && !began_before) {
                 last_word = Instant::now();
-            };
-            let rest = pending.split_off(lists.byte_offset());
-            // A blank line between two lists: the watch lives.
-            if whole && rest.contains(&b'\n') {
-                last_word = Instant::now();
-            }
-            pending = if whole { BytesMut::new() } else { rest };
-            if pending.len() > LIST_MOST {
-                return Err("a list without an end".into());
             }
         }
         Ok(())
     }
 
-    async fn ask(&self, target: &str) -> Result<(Connection, Incoming), Failure> {
+    /// Tells all lists that are whole. Whether anything was heard: a list, or an empty line.
+    fn tell_whole(
+        &self,
+        messages: &mut JsonMessages,
+        tell: &mut impl FnMut(News),
+    ) -> Result<bool, DiscoveryError> {
+        let mut heard = false;
+        while let Some(part) = messages.next_part()? {
+            heard = true;
+            if let Part::Object(text) = part {
+                tell(self.read(&text)?);
+            }
+        }
+        Ok(heard)
+    }
+
+    async fn ask(&self, target: &str) -> Result<(Connection, Incoming), DiscoveryError> {
         let address = self.address.get();
         let mut connection = Connection::open(address, ()).await?;
         let request = Request::get(target).header(HOST, address.to_string());
         let response = connection.send(request.body(Full::<Bytes>::default())?).await?;
         if response.status() != StatusCode::OK {
-            return Err(format!("status {}", response.status()).into());
+            return Err(DiscoveryError::Status(response.status()));
         }
         Ok((connection, response.into_body()))
     }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -6,6 +6,7 @@
 mod discovery;
 mod driver;
 mod headers;
+mod json_messages;
 mod metrics;
 mod pool;
 mod requests;
--- a/node/tests/discovery.rs
+++ b/node/tests/discovery.rs
@@ -40,7 +40,9 @@
     let mut client = node.connect();
     assert_eq!(client.exchange(&book(5000, "x")).status(), 200);
     let (_, watch) = calls.recv_timeout(LONG).expect("a watch");
-    let change = |state| list(2, false, &[entry("s-0", leaving.address, state)]) + "\n";
+    // Brackets and quotes in a string are no ends.
+    let other = entry(r#"s-\"]}{\\"#, nobody(), "Terminating");
+    let change = |state| list(2, false, &[other.clone(), entry("s-0", leaving.address, state)]) + "\n";
     let ready = change("Ready");
     for cut in 1..ready.len() {
         let (head, tail) = ready.split_at(cut);
