A new process listens once discovery has told its list, or is silent

Cause: node/src/main.rs served from the first moment by the list known from before, which is as old as the process was dead.

Change: the address is bound at the start and listened on when the list has come, where lists are pushed.

fleets_of_thousands_are_served_and_ready_at_once started its ten processes one after another under silent discovery, within 10 s, and told the watches of all, which live for 2.5 s. They start at once now, as its name says, within 5 s.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -21,6 +21,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error as ThisError;
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::error::Elapsed;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -106,6 +107,17 @@
     }))
 }
 
+/// How far discovery has come with its first answer since the start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Progress {
+    /// Nothing has come.
+    Waiting,
+    /// Part of an answer.
+    Answering,
+    /// A whole list, or changes of the one known.
+    Told,
+}
+
 /// Where discovery is, and how far this balancer has followed it.
 pub struct Discovery {
     address: Cell<SocketAddr>,
@@ -113,6 +125,7 @@
     /// The version of the list in hand; 0: none.
     rev: Cell<u64>,
     watch: RefCell<Option<AbortHandle>>,
+    progress: watch::Sender<Progress>,
     odd: Seldom,
     metrics: Rc<Metrics>,
 }
@@ -165,6 +178,7 @@
             names,
             rev: Cell::new(0),
             watch: RefCell::default(),
+            progress: watch::Sender::new(Progress::Waiting),
             odd: Seldom::default(),
             metrics,
         }
@@ -175,6 +189,22 @@
         &self.metrics
     }
 
+    /// How far discovery has come with its first answer.
+    pub fn progress(&self) -> watch::Receiver<Progress> {
+        self.progress.subscribe()
+    }
+
+    /// Tells those who wait for the first answer that something has come.
+    fn advance(&self, to: Progress) {
+        self.progress.send_if_modified(|progress| {
+            let waited_for = *progress != Progress::Told;
+            if waited_for {
+                *progress = to;
+            }
+            waited_for
+        });
+    }
+
     /// The version of the list in hand; 0: none.
     pub fn version(&self) -> u64 {
         self.rev.get()
@@ -291,10 +321,12 @@
         self.metrics.discovery_calls.inc();
         tracing::info!(address = %self.address.get(), index = self.rev.get(), "watch begins");
         let (_connection, mut body) = timeout(HEAD_MOST, self.ask(&target)).await??;
+        self.advance(Progress::Answering);
         let mut messages = JsonMessages::new(LIST_MOST);
         let mut last_word = Instant::now();
         while let Some(frame) = timeout_at(last_word + SILENCE_MOST, body.frame()).await? {
             let Ok(data) = frame?.into_data() else { continue };
+            self.advance(Progress::Answering);
             let began_before = messages.is_within_object();
             messages.push(&data);
             let heard = self.tell_whole(&mut messages, &mut tell).inspect_err(|_| {
@@ -320,6 +352,7 @@
             heard = true;
             if let Part::Object(text) = part {
                 tell(self.read(&text)?);
+                self.advance(Progress::Told);
             }
         }
         Ok(heard)
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -4,7 +4,7 @@
 //! Everything that happens is put in a queue and played from there, one event at a time, so that the module
 //! is never entered twice; tasks only ever add to the queue.
 
-use crate::discovery::{Discovery, News};
+use crate::discovery::{Discovery, News, Progress};
 use crate::headers::CORRELATION_ID;
 use crate::metrics::{AnswerKind, Metrics};
 use crate::upstream::{Ended, Outgoing, Served, Upstreams};
@@ -369,6 +369,16 @@
         self.discovery.watched_by(watch.abort_handle());
     }
 
+    /// How far discovery has come with its first answer.
+    pub fn discovery_progress(&self) -> watch::Receiver<Progress> {
+        self.discovery.progress()
+    }
+
+    /// The version of the list in hand; 0: none.
+    pub fn list_version(&self) -> u64 {
+        self.discovery.version()
+    }
+
     /// Discovery has moved. What is watched, or will be once a failed call is far enough back, is asked of the
     /// new address at once: what it has to tell may not wait.
     pub fn discovery_moved(self: &Rc<Self>, address: SocketAddr) {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -15,16 +15,18 @@
 mod upstream;
 
 use config::Config;
-use discovery::Discovery;
+use discovery::{Discovery, Progress};
 use driver::Driver;
 use lapisroute::Balancer;
 use metrics::Metrics;
 use server::{Phase, Server};
 use std::error::Error;
+use std::io;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
@@ -42,6 +44,13 @@
 /// SIGKILL may come when the longest deadline, 3 s at most, and 0.7 s more have passed; this is a bit before.
 const KILL_DEADLINE_MOST: Duration = Duration::from_secs(3);
 const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(600);
+/// How long a new process waits for discovery's first list before it serves, and how long while nothing comes from
+/// there. Discovery's agent is on this machine and answers at once; when it is silent the list known from before has to
+/// do, while a long list takes its time to be read.
+const FIRST_LIST_MOST: Duration = Duration::from_secs(5);
+const FIRST_LIST_SILENCE_MOST: Duration = Duration::from_millis(400);
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
 /// For the answers to what is then still held.
 const LAST_WORDS: Duration = Duration::from_millis(200);
 
@@ -73,8 +82,7 @@
     let mut term = signal(SignalKind::terminate())?;
     // Before anybody can know that this process is ready: unhandled, it would kill.
     let hangup = signal(SignalKind::hangup())?;
-    let listener =
-        TcpListener::bind(config.listen).await.map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let socket = bind(config.listen).map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let metrics = Rc::new(Metrics::default());
     let settings = &config.site.settings;
     let (connections, long_answers) = (config.upstream_connections(), config.long_answers());
@@ -82,13 +90,18 @@
     let discovery = Discovery::new(config.discovery, config.site.names.clone(), Rc::clone(&metrics));
     let known = discovery.known(&config.known);
     tracing::info!(
-        listen = %listener.local_addr()?,
         upstreams = known.entries.len(),
         version = discovery.version(),
         limits = ?config.limits,
-        "serving"
+        "starting"
     );
     let driver = Driver::start(balancer, upstreams, discovery, known, settings.ask_for_fleet);
+    if !settings.ask_for_fleet {
+        wait_for_list(&driver).await;
+    }
+    // Nobody can connect before.
+    let listener = socket.listen(BACKLOG)?;
+    tracing::info!(listen = %listener.local_addr()?, version = driver.list_version(), "serving");
     spawn_local(async move { metrics.log_changes().await });
     let (phase, phases) = watch::channel(Phase::Serving);
     let server = Server::new(driver.clone(), &config.site, phases);
@@ -111,6 +124,31 @@
     Ok(())
 }
 
+/// A socket at this address that does not listen yet.
+fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+/// Waits until discovery has told its list, or is silent.
+async fn wait_for_list(driver: &Driver) {
+    let mut progress = driver.discovery_progress();
+    let told = async {
+        loop {
+            match timeout(FIRST_LIST_SILENCE_MOST, progress.changed()).await {
+                Ok(Ok(())) if *progress.borrow_and_update() == Progress::Told => return true,
+                Ok(Ok(())) => {}
+                Ok(Err(_)) | Err(_) => return false,
+            }
+        }
+    };
+    if timeout(FIRST_LIST_MOST, told).await != Ok(true) {
+        tracing::warn!("discovery is silent: serving by the list known from before");
+    }
+}
+
 /// Reads the configuration anew at each SIGHUP. Only discovery's address is taken from it: all else stands
 /// until the next start. A file that can't be read leaves everything as it is.
 async fn reload(mut hangup: Signal, driver: Rc<Driver>) {
--- a/node/tests/discovery.rs
+++ b/node/tests/discovery.rs
@@ -82,15 +82,15 @@
     setup.discovery = discovery;
     let node = setup.launch();
     let (_, watch) = calls.recv_timeout(LONG).expect("a watch");
-    let asked = Instant::now();
-    while asked.elapsed() < Duration::from_millis(300) {
+    // It comes slowly, and longer than the grace for a server that drains.
+    let drains = list(2, false, &[entry("s-0", leaving.address, "Terminating")]);
+    for piece in drains.as_bytes().chunks(2) {
         if node.serves() {
             node.connect().exchange(&look(5000));
         }
-        std::thread::sleep(Duration::from_millis(10));
+        std::thread::sleep(Duration::from_millis(5));
+        write_in_chunks(&watch, std::str::from_utf8(piece).unwrap(), piece.len());
     }
-    let drains = entry("s-0", leaving.address, "Terminating");
-    tell(&watch, &list(2, false, &[drains]));
     until("it serves", || node.serves());
     for _ in 0..10 {
         assert_eq!(node.connect().exchange(&look(5000)).status(), 200);
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -456,13 +456,14 @@
     (setup.discovery, setup.balancers) = (discovery, 1500);
     setup.known = list(1, true, &entries(upstream.address, "Ready"));
     let start = Instant::now();
-    let nodes: Vec<_> = (0..10).map(|_| setup.start()).collect();
+    let nodes: Vec<_> = (0..10).map(|_| setup.launch()).collect();
     for node in &nodes {
+        until("it serves", || node.serves());
         let ready = "GET /health/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n";
         assert_eq!(node.connect().exchange(ready).status(), 200);
         assert_eq!(node.connect().exchange(&look(8000)).status(), 200);
     }
-    assert!(start.elapsed() < std::time::Duration::from_secs(10), "{:?}", start.elapsed());
+    assert!(start.elapsed() < std::time::Duration::from_secs(5), "{:?}", start.elapsed());
     assert_eq!(upstream.seen().len(), 10);
     let all: Vec<_> = nodes.iter().map(|_| calls.recv_timeout(LONG).expect("a watch")).collect();
     // The last of them moves, all others go.
