Begin a watch that ended at once anew after 20 ms, doubling up to 250 ms

Cause: node/src/driver.rs kept 250 ms between the beginnings of two watches. What discovery's agent has counts as told whether a watch is open or not, and the grace for a server that drains is 250 ms: of two watches that end one behind the other, by a reset or a spoilt list, the second cost all of it.

Change: pauses begin at 20 ms and double up to the 250 ms of before. a_watch_is_back_in_time asked for 200 ms at least after the first end, which was the fault; it asks now for a pause under 100 ms there, and for 200 ms at least after five such ends, and failed with the old pause.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -4,6 +4,7 @@
 //! Everything that happens is put in a queue and played from there, one event at a time, so that the module
 //! is never entered twice; tasks only ever add to the queue.
 
+use crate::backoff::Backoff;
 use crate::discovery::{Discovery, News, Progress};
 use crate::headers::CORRELATION_ID;
 use crate::metrics::{AnswerKind, Metrics};
@@ -20,11 +21,15 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, watch};
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::{Instant, sleep, sleep_until};
-
-/// Time between the beginnings of two watches that are begun unprompted. One that has lasted is begun anew at once,
-/// as what discovery has to tell counts as told, whether it arrived or not; the call costs discovery nothing.
-const WATCH_EVERY: Duration = Duration::from_millis(250);
+use tokio::time::{Instant, sleep};
+
+/// Pauses after a watch that ended within `WATCH_LASTS`, where watches are begun unprompted. They begin short, as what
+/// discovery has to tell counts as told, whether it arrived or not, and the grace for servers that drain is a quarter of
+/// a second; they double, so that a discovery that is down costs little. One that has lasted is begun anew at once.
+const WATCH_PAUSE_LEAST: Duration = Duration::from_millis(20);
+const WATCH_PAUSE_MOST: Duration = Duration::from_millis(250);
+/// A watch that has stood for so long counts as one that stood.
+const WATCH_LASTS: Duration = Duration::from_millis(250);
 /// How far the module's clock has gone at the start: upstreams may have started before this balancer.
 const BEFORE_START: Duration = Duration::from_secs(3600);
 
@@ -356,6 +361,7 @@
     fn watch(self: &Rc<Self>) {
         let driver = Rc::clone(self);
         let watch = spawn_local(async move {
+            let mut pause = Backoff::new(WATCH_PAUSE_LEAST, WATCH_PAUSE_MOST);
             loop {
                 let begun = Instant::now();
                 driver.discovery.watch(|news| driver.happened(Happening::Fleet(news))).await;
@@ -363,7 +369,12 @@
                     // The module asks again when it sees fit.
                     return driver.happened(Happening::Fleet(News::failed()));
                 }
-                sleep_until(begun + WATCH_EVERY).await;
+                if begun.elapsed() >= WATCH_LASTS {
+                    pause.reset();
+                } else {
+                    sleep(pause.current()).await;
+                    pause.grow();
+                }
             }
         });
         self.discovery.watched_by(watch.abort_handle());
@@ -559,16 +570,24 @@
         let back = silent.elapsed();
         assert!(back < Duration::from_millis(5500), "{back:?}");
         third.write_all(HEAD).await.unwrap();
-        sleep(WATCH_EVERY).await;
+        sleep(WATCH_LASTS).await;
         drop(third);
         let reset = Instant::now();
         call(&discovery).await;
         let back = reset.elapsed();
         assert!(back < Duration::from_millis(50), "{back:?}");
-        // One that ends as soon as it has begun is not begun without a pause.
+        // One that ends as soon as it has begun is begun anew well within the grace of a server that drains, though not
+        // without a pause, and those that do so again and again come ever more seldom.
+        let ended = Instant::now();
+        call(&discovery).await;
+        let back = ended.elapsed();
+        assert!(back >= WATCH_PAUSE_LEAST && back < Duration::from_millis(100), "{back:?}");
+        for _ in 0..4 {
+            call(&discovery).await;
+        }
         let ended = Instant::now();
         call(&discovery).await;
-        assert!(ended.elapsed() >= WATCH_EVERY - Duration::from_millis(50));
+        assert!(ended.elapsed() >= WATCH_PAUSE_MOST - Duration::from_millis(50));
     }
 
     /// Guards against a list without an end, as fast as it can be read: it is given up and discovery asked again well
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,5 +1,6 @@
 //! `maplehook`: a load balancer on real sockets. Every decision is the `lapisroute` library's.
 
+mod backoff;
 mod client;
 mod config;
 mod connection;
