Send nothing to an upstream whose list entry can't be read

Cause, found beside the incident: node/src/discovery.rs skipped such an entry. In a change of the list the entry may say that the upstream drains: skipped, it went on being sent to, past the grace.

Change: whoever can be told from the entry's uid counts as draining until an entry about it is readable. Fields that the balancer can do without (zone, kind, cell, weight, start) may be absent, null or numbers in any form of JSON, so that few entries are unreadable. an_upstream_whose_entry_is_unreadable_is_not_sent_to failed before.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -85,19 +85,37 @@
     endpoint: Option<&'a RawValue>,
     state: String,
     #[serde(default)]
-    az: String,
+    az: Option<String>,
     #[serde(default)]
-    model: String,
+    model: Option<String>,
     #[serde(default)]
-    pod_group: u16,
-    #[serde(default = "one")]
-    capacity_hint: f64,
+    pod_group: Option<f64>,
     #[serde(default)]
-    boot_ms: f64,
+    capacity_hint: Option<f64>,
+    #[serde(default)]
+    boot_ms: Option<f64>,
+}
+
+/// The weight of an upstream of which none is told.
+const WEIGHT_UNTOLD: f64 = 1.0;
+
+/// The part of an entry that tells whose it is.
+#[derive(Deserialize)]
+struct RawIdentity {
+    uid: String,
 }
 
-fn one() -> f64 {
-    1.0
+/// An upstream of which nothing more is known than that it may drain.
+fn unusable_entry(text: &str) -> Result<Entry, serde_json::Error> {
+    let identity: RawIdentity = serde_json::from_str(text)?;
+    Ok(Entry {
+        id: stable_id(&identity.uid),
+        zone: ZoneId(u8::MAX),
+        kind: KindId(u16::MAX),
+        cell: CellId(u16::MAX),
+        weight: WEIGHT_UNTOLD,
+        place: Place { endpoint: None, availability: Availability::Draining, boot_ms: 0 },
+    })
 }
 
 /// FNV-1a: an id that no process, build or machine sees differently.
@@ -210,12 +228,18 @@
         self.rev.get()
     }
 
-    /// Reads a list. An entry that can't be read is skipped; a list that can't be read is an error.
+    /// Reads a list. Who can be told from an entry that is unreadable otherwise is taken to drain, so that
+    /// nothing is sent there; any other such entry is skipped. A list that can't be read is an error.
     fn read(&self, text: &[u8]) -> Result<News, serde_json::Error> {
         let list: RawList<'_> = serde_json::from_slice(text)?;
         let entries = list.targets.iter().filter_map(|raw| {
             let entry = self.entry(raw.get());
-            entry.map_err(|e| self.odd.warn(|| format!("unreadable list entry: {e}"))).ok()
+            entry
+                .or_else(|e| {
+                    self.odd.warn(|| format!("unreadable list entry: {e}"));
+                    unusable_entry(raw.get())
+                })
+                .ok()
         });
         let entries: Vec<Entry> = entries.collect();
         self.rev.set(list.rev);
@@ -236,14 +260,15 @@
         if endpoint.is_none() && availability == Availability::Ready {
             return Err(EntryError::NoAddress { uid: raw.uid });
         }
-        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        let position =
+            |names: &[String], name: Option<String>| names.iter().position(|n| Some(n) == name.as_ref());
         Ok(Entry {
             id: stable_id(&raw.uid),
-            zone: ZoneId(place(&self.names.zones, &raw.az).map_or(u8::MAX, |z| z as u8)),
-            kind: KindId(place(&self.names.kinds, &raw.model).map_or(u16::MAX, |k| k as u16)),
-            cell: CellId(raw.pod_group),
-            weight: raw.capacity_hint,
-            place: Place { endpoint, availability, boot_ms: raw.boot_ms.max(0.0) as u64 },
+            zone: ZoneId(position(&self.names.zones, raw.az).map_or(u8::MAX, |z| z as u8)),
+            kind: KindId(position(&self.names.kinds, raw.model).map_or(u16::MAX, |k| k as u16)),
+            cell: CellId(raw.pod_group.unwrap_or_default() as u16),
+            weight: raw.capacity_hint.unwrap_or(WEIGHT_UNTOLD),
+            place: Place { endpoint, availability, boot_ms: raw.boot_ms.unwrap_or_default().max(0.0) as u64 },
         })
     }
 
--- a/node/tests/discovery.rs
+++ b/node/tests/discovery.rs
@@ -98,6 +98,30 @@
     assert_eq!(leaving.seen().len(), 0, "it was sent to by the old list");
 }
 
+/// Guards the drain rule where an entry holds something that can't be read: who can be told from it is not sent to.
+#[test]
+fn an_upstream_whose_entry_is_unreadable_is_not_sent_to() {
+    for (from, to) in [
+        (r#""pod_group":0"#, r#""pod_group":"none""#),
+        (r#""state":"Terminating""#, r#""state":"Stopping""#),
+        (r#""boot_ms":0"#, r#""boot_ms":null"#),
+        (r#""capacity_hint":1.0"#, r#""capacity_hint":[]"#),
+    ] {
+        let leaving = Upstream::start(Then::Answer(OK));
+        let (discovery, calls) = discovery();
+        let mut setup = Setup::with(&[leaving.address]);
+        setup.discovery = discovery;
+        let node = setup.start();
+        let mut client = node.connect();
+        assert_eq!(client.exchange(&book(5000, "x")).status(), 200);
+        let (_, watch) = calls.recv_timeout(LONG).expect("a watch");
+        let odd = entry("s-0", leaving.address, "Terminating").replace(from, to);
+        tell(&watch, &list(2, false, &[odd]));
+        until("its idle connection is closed", || leaving.ended() == 1);
+        assert_eq!(client.exchange(&book(5000, "x")).status(), 503);
+    }
+}
+
 /// Guards against a process that never serves as its discovery is down: it goes by the list known from before then.
 #[test]
 fn a_new_process_serves_though_discovery_is_silent() {
