Give a call to discovery more time after one that was given up for lateness

Cause, found beside the incident: node/src/discovery.rs gave each call 1 s to its answer's head. Discovery that is crowded takes longer; a call given up waits its turn again, and so no call was ever answered, while changes count as told 6 s after discovery had them and could be reached.

Change: the wait doubles with each call given up so, to 2.5 s, and begins anew once one is answered. discovery_that_answers_late_is_followed, with heads after 1.5 s, failed before, with pushed lists and with asked ones. Of three mute calls one behind the other the last ends 6 s after the first began, before it was 4 s; two still leave time for a third.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery: the whole list when asked for it, and the watch on its changes.
 
+use crate::backoff::Backoff;
 use crate::connection::Connection;
 use crate::json_messages::{JsonMessages, Part, SplitError};
 use crate::metrics::Metrics;
@@ -31,8 +32,10 @@
 /// out, to find the same of the next one, and for a third.
 const SILENCE_MOST: Duration = Duration::from_millis(2500);
 /// How long a call may take to its answer's head, its connection included: who answers is on this machine. A call in
-/// vain has to leave time for another.
-const HEAD_MOST: Duration = Duration::from_millis(1000);
+/// vain has to leave time for another. Where discovery is crowded a call that is given up has lost its turn: the next one
+/// is given twice the time, up to the longest.
+const HEAD_WAIT_LEAST: Duration = Duration::from_millis(1000);
+const HEAD_WAIT_MOST: Duration = Duration::from_millis(2500);
 /// The longest list: more is no list.
 const LIST_MOST: usize = 8 * 1024 * 1024;
 
@@ -143,6 +146,7 @@
     /// The version of the list in hand; 0: none.
     rev: Cell<u64>,
     watch: RefCell<Option<AbortHandle>>,
+    head_wait: Cell<Backoff>,
     progress: watch::Sender<Progress>,
     odd: Seldom,
     metrics: Rc<Metrics>,
@@ -196,6 +200,7 @@
             names,
             rev: Cell::new(0),
             watch: RefCell::default(),
+            head_wait: Cell::new(Backoff::new(HEAD_WAIT_LEAST, HEAD_WAIT_MOST)),
             progress: watch::Sender::new(Progress::Waiting),
             odd: Seldom::default(),
             metrics,
@@ -304,7 +309,7 @@
     /// Asks for the whole list.
     pub async fn fetch(&self) -> News {
         let read = async {
-            let (_connection, body) = timeout(HEAD_MOST, self.ask("/registry/instances")).await??;
+            let (_connection, body) = self.call("/registry/instances").await?;
             let body = http_body_util::Limited::new(body, LIST_MOST);
             let collected = timeout(SILENCE_MOST, body.collect()).await?;
             let news = self.read(&collected.map_err(DiscoveryError::Body)?.to_bytes())?;
@@ -345,7 +350,7 @@
         let target = format!("/registry/instances?stream=1&index={}", self.rev.get());
         self.metrics.discovery_calls.inc();
         tracing::info!(address = %self.address.get(), index = self.rev.get(), "watch begins");
-        let (_connection, mut body) = timeout(HEAD_MOST, self.ask(&target)).await??;
+        let (_connection, mut body) = self.call(&target).await?;
         self.advance(Progress::Answering);
         let mut messages = JsonMessages::new(LIST_MOST);
         let mut last_word = Instant::now();
@@ -383,6 +388,19 @@
         Ok(heard)
     }
 
+    /// Makes a call and waits for its answer's head.
+    async fn call(&self, target: &str) -> Result<(Connection, Incoming), DiscoveryError> {
+        let mut head_wait = self.head_wait.get();
+        let answered = timeout(head_wait.current(), self.ask(target)).await;
+        match &answered {
+            Ok(Ok(_)) => head_wait.reset(),
+            Ok(Err(_)) => {}
+            Err(_) => head_wait.grow(),
+        }
+        self.head_wait.set(head_wait);
+        answered?
+    }
+
     async fn ask(&self, target: &str) -> Result<(Connection, Incoming), DiscoveryError> {
         let address = self.address.get();
         let mut connection = Connection::open(address, ()).await?;
--- a/node/tests/discovery.rs
+++ b/node/tests/discovery.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 /// Upstreams in a fleet of the largest size.
@@ -122,6 +122,46 @@
     }
 }
 
+/// Discovery that answers every call with the same list, but so late.
+fn slow_discovery(delay: Duration, list: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let list = list.clone();
+            std::thread::spawn(move || {
+                let _call = Message::read(&mut BufReader::new(&stream));
+                std::thread::sleep(delay);
+                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                let answer = format!("{head}{:x}\r\n{list}\r\n", list.len());
+                // The caller may have given up.
+                let _ = (&stream).write_all(answer.as_bytes());
+                std::thread::sleep(LONG);
+            });
+        }
+    });
+    address
+}
+
+/// Guards the drain rule where discovery is crowded: a call that is given up has to wait its turn again, so the next one
+/// is given more time. A change counts as told after 6 s.
+#[test]
+fn discovery_that_answers_late_is_followed() {
+    for asks in [false, true] {
+        let leaving = Upstream::start(Then::Answer(OK));
+        let drains = list(2, true, &[entry("s-0", leaving.address, "Terminating")]);
+        let mut setup = Setup::with(&[leaving.address]);
+        setup.discovery = slow_discovery(Duration::from_millis(1500), drains);
+        setup.asks = asks;
+        let begun = Instant::now();
+        let node = setup.start();
+        let mut client = node.connect();
+        assert_eq!(client.exchange(&book(5000, "x")).status(), 200);
+        until("its idle connection is closed", || leaving.ended() == 1);
+        assert!(begun.elapsed() < Duration::from_secs(6), "{:?}", begun.elapsed());
+    }
+}
+
 /// Guards against a process that never serves as its discovery is down: it goes by the list known from before then.
 #[test]
 fn a_new_process_serves_though_discovery_is_silent() {
