A new process waits for its first list where lists are asked for, too

Such a process sent by the list known from before until its first call, up to 1 s after the start, was answered, though a change counts as told 6 s after discovery had it, which may be long before the start. It listens when the answer is here, or nothing has come for 0.4 s beyond the longest wait for the first call. a_new_process_waits_for_the_list_of_now covers both ways and failed for this one before.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -50,6 +50,8 @@
 /// do, while a long list takes its time to be read.
 const FIRST_LIST_MOST: Duration = Duration::from_secs(5);
 const FIRST_LIST_SILENCE_MOST: Duration = Duration::from_millis(400);
+/// How long the decisions may put off the first call, where the list has to be asked for.
+const FIRST_CALL_MOST: Duration = Duration::from_secs(1);
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
 /// For the answers to what is then still held.
@@ -97,9 +99,8 @@
         "starting"
     );
     let driver = Driver::start(balancer, upstreams, discovery, known, settings.ask_for_fleet);
-    if !settings.ask_for_fleet {
-        wait_for_list(&driver).await;
-    }
+    let first_call = if settings.ask_for_fleet { FIRST_CALL_MOST } else { Duration::ZERO };
+    wait_for_list(&driver, first_call + FIRST_LIST_SILENCE_MOST).await;
     // Nobody can connect before.
     let listener = socket.listen(BACKLOG)?;
     tracing::info!(listen = %listener.local_addr()?, version = driver.list_version(), "serving");
@@ -133,12 +134,12 @@
     Ok(socket)
 }
 
-/// Waits until discovery has told its list, or is silent.
-async fn wait_for_list(driver: &Driver) {
+/// Waits until discovery has told its list, or nothing has come from there for so long.
+async fn wait_for_list(driver: &Driver, silence_most: Duration) {
     let mut progress = driver.discovery_progress();
     let told = async {
         loop {
-            match timeout(FIRST_LIST_SILENCE_MOST, progress.changed()).await {
+            match timeout(silence_most, progress.changed()).await {
                 Ok(Ok(())) if *progress.borrow_and_update() == Progress::Told => return true,
                 Ok(Ok(())) => {}
                 Ok(Err(_)) | Err(_) => return false,
