Overlap late calls to discovery where they cost nothing

Where lists are pushed, what discovery has when it is back from being down counts at once, and a call that was made meanwhile may never be answered: the longer wait put the next one off.

Change: where lists are pushed, another call is made after each second, beside the earlier ones, which have 2.5 s; the first answer counts.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -7,12 +7,14 @@
 use crate::seldom::Seldom;
 use crate::upstream::Place;
 use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use lapisroute::{Availability, CellId, FleetScope, KindId, UpstreamId, ZoneId};
-use lapisroute_settings::Names;
+use lapisroute_settings::{Names, Site};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::cell::{Cell, RefCell};
@@ -25,16 +27,16 @@
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::error::Elapsed;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// A watch has a line to say every 2 s. Without one for this long, its first included, it is dead, whatever its
 /// connection looks like. What it misses counts as told 6 s after it fell silent: there has to be time to find that
 /// out, to find the same of the next one, and for a third.
 const SILENCE_MOST: Duration = Duration::from_millis(2500);
-/// How long a call may take to its answer's head, its connection included: who answers is on this machine. A call in
-/// vain has to leave time for another. Where discovery is crowded a call that is given up has lost its turn: the next one
-/// is given twice the time, up to the longest.
+/// How long a call may take to its answer's head, its connection included, before another is made: who answers is on this
+/// machine.
 const HEAD_WAIT_LEAST: Duration = Duration::from_millis(1000);
+/// How long it may take at the most. Where discovery is crowded a call that is given up has lost its turn.
 const HEAD_WAIT_MOST: Duration = Duration::from_millis(2500);
 /// The longest list: more is no list.
 const LIST_MOST: usize = 8 * 1024 * 1024;
@@ -139,6 +141,18 @@
     Told,
 }
 
+/// An answer of discovery, whose body is still to be read, and the connection that it comes on.
+type Answer = (Connection, Incoming);
+
+/// How calls that are answered late are made.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Calls {
+    /// Calls cost discovery work: each is given up before the next.
+    OneAtATime,
+    /// Calls cost nothing, and what discovery has to tell counts as told.
+    Overlapping,
+}
+
 /// Where discovery is, and how far this balancer has followed it.
 pub struct Discovery {
     address: Cell<SocketAddr>,
@@ -146,6 +160,7 @@
     /// The version of the list in hand; 0: none.
     rev: Cell<u64>,
     watch: RefCell<Option<AbortHandle>>,
+    calls: Calls,
     head_wait: Cell<Backoff>,
     progress: watch::Sender<Progress>,
     odd: Seldom,
@@ -193,13 +208,15 @@
 }
 
 impl Discovery {
-    /// Discovery at an address; `names` turn zones and kinds into numbers.
-    pub fn new(address: SocketAddr, names: Names, metrics: Rc<Metrics>) -> Self {
+    /// Discovery at an address; the site's names turn zones and kinds into numbers.
+    pub fn new(address: SocketAddr, site: &Site, metrics: Rc<Metrics>) -> Self {
+        let asked = site.settings.ask_for_fleet;
         Self {
             address: Cell::new(address),
-            names,
+            names: site.names.clone(),
             rev: Cell::new(0),
             watch: RefCell::default(),
+            calls: if asked { Calls::OneAtATime } else { Calls::Overlapping },
             head_wait: Cell::new(Backoff::new(HEAD_WAIT_LEAST, HEAD_WAIT_MOST)),
             progress: watch::Sender::new(Progress::Waiting),
             odd: Seldom::default(),
@@ -348,8 +365,6 @@
 
     async fn follow(&self, mut tell: impl FnMut(News)) -> Result<(), DiscoveryError> {
         let target = format!("/registry/instances?stream=1&index={}", self.rev.get());
-        self.metrics.discovery_calls.inc();
-        tracing::info!(address = %self.address.get(), index = self.rev.get(), "watch begins");
         let (_connection, mut body) = self.call(&target).await?;
         self.advance(Progress::Answering);
         let mut messages = JsonMessages::new(LIST_MOST);
@@ -388,8 +403,16 @@
         Ok(heard)
     }
 
-    /// Makes a call and waits for its answer's head.
-    async fn call(&self, target: &str) -> Result<(Connection, Incoming), DiscoveryError> {
+    /// Calls and waits for the answer's head.
+    async fn call(&self, target: &str) -> Result<Answer, DiscoveryError> {
+        match self.calls {
+            Calls::OneAtATime => self.call_patiently(target).await,
+            Calls::Overlapping => self.call_overlapping(target).await,
+        }
+    }
+
+    /// Makes one call. After one that was given up for lateness the next is given twice the time.
+    async fn call_patiently(&self, target: &str) -> Result<Answer, DiscoveryError> {
         let mut head_wait = self.head_wait.get();
         let answered = timeout(head_wait.current(), self.ask(target)).await;
         match &answered {
@@ -401,8 +424,32 @@
         answered?
     }
 
-    async fn ask(&self, target: &str) -> Result<(Connection, Incoming), DiscoveryError> {
+    /// Makes a call, and another while it is late: whether discovery is late or never answers the first one can't be told.
+    /// The first head that comes counts.
+    async fn call_overlapping(&self, target: &str) -> Result<Answer, DiscoveryError> {
+        let mut calls = FuturesUnordered::new();
+        loop {
+            calls.push(timeout(HEAD_WAIT_MOST, self.ask(target)));
+            let next_call = sleep(HEAD_WAIT_LEAST);
+            tokio::pin!(next_call);
+            loop {
+                tokio::select! {
+                    Some(answered) = calls.next() => match answered {
+                        Ok(Ok(answer)) => return Ok(answer),
+                        Ok(Err(e)) if calls.is_empty() => return Err(e),
+                        Ok(Err(e)) => self.odd.warn(|| format!("a call failed beside others: {e}")),
+                        Err(_) => self.odd.warn(|| "a call was given up for lateness".to_owned()),
+                    },
+                    () = &mut next_call => break,
+                }
+            }
+        }
+    }
+
+    async fn ask(&self, target: &str) -> Result<Answer, DiscoveryError> {
         let address = self.address.get();
+        self.metrics.discovery_calls.inc();
+        tracing::info!(%address, target, "call to discovery");
         let mut connection = Connection::open(address, ()).await?;
         let request = Request::get(target).header(HOST, address.to_string());
         let response = connection.send(request.body(Full::<Bytes>::default())?).await?;
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -508,7 +508,7 @@
         let site =
             lapisroute_settings::parse(&format!(r#"{{"classes":[{{"name":"look"}}],{asking}}}"#)).unwrap();
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let discovery = Discovery::new(listener.local_addr().unwrap(), site.names.clone(), Rc::default());
+        let discovery = Discovery::new(listener.local_addr().unwrap(), &site, Rc::default());
         let balancer = Balancer::new(site.settings.clone(), 7).unwrap();
         let upstreams = Upstreams::new(&site.settings, 8, 0, Rc::default());
         let asks = site.settings.ask_for_fleet;
@@ -565,8 +565,14 @@
         first.write_all(HEAD).await.unwrap();
         first.write_all(b"1\r\n\n\r\n").await.unwrap();
         let silent = Instant::now();
-        let _mute = call(&discovery).await;
+        // Calls that stay without an answer leave no longer gap than the first: what was down is back at any time.
+        let mut mute = Vec::new();
+        for _ in 0..2 {
+            mute.push(call(&discovery).await);
+        }
+        let muted = Instant::now();
         let mut third = call(&discovery).await;
+        assert!(muted.elapsed() < Duration::from_millis(1100), "{:?}", muted.elapsed());
         let back = silent.elapsed();
         assert!(back < Duration::from_millis(5500), "{back:?}");
         third.write_all(HEAD).await.unwrap();
@@ -629,7 +635,7 @@
         let site = lapisroute_settings::parse(&format!(r#"{{"classes":[{class}],{rest}}}"#)).unwrap();
         let upstream = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let endpoint = upstream.local_addr().unwrap();
-        let discovery = Discovery::new(endpoint, site.names.clone(), Rc::default());
+        let discovery = Discovery::new(endpoint, &site, Rc::default());
         let entry = format!(r#"{{"uid":"s-0","endpoint":"{endpoint}","state":"Ready"}}"#);
         let known = discovery.known(&format!(r#"{{"rev":1,"all":true,"targets":[{entry}]}}"#));
         let mut settings = site.settings.clone();
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -90,7 +90,7 @@
     let settings = &config.site.settings;
     let (connections, long_answers) = (config.upstream_connections(), config.long_answers());
     let upstreams = Upstreams::new(settings, connections, long_answers, Rc::clone(&metrics));
-    let discovery = Discovery::new(config.discovery, config.site.names.clone(), Rc::clone(&metrics));
+    let discovery = Discovery::new(config.discovery, &config.site, Rc::clone(&metrics));
     let known = discovery.known(&config.known);
     tracing::info!(
         upstreams = known.entries.len(),
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -288,7 +288,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let upstreams = Upstreams::new(&site.settings, 8, 0, Rc::default());
-        let discovery = Discovery::new(address, site.names.clone(), Rc::default());
+        let discovery = Discovery::new(address, &site, Rc::default());
         let balancer = Balancer::new(site.settings.clone(), 7).unwrap();
         let driver = Driver::start(balancer, upstreams, discovery, News::failed(), true);
         let (phase, phases) = watch::channel(Phase::Leaving);
@@ -329,7 +329,7 @@
         let upstream = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let upstreams = Upstreams::new(&site.settings, 8, 0, Rc::default());
-        let discovery = Discovery::new(address, site.names.clone(), Rc::default());
+        let discovery = Discovery::new(address, &site, Rc::default());
         let endpoint = upstream.local_addr().unwrap();
         let entry = format!(r#"{{"uid":"s-0","endpoint":"{endpoint}","state":"Ready"}}"#);
         let known = discovery.known(&format!(r#"{{"rev":1,"all":true,"targets":[{entry}]}}"#));
@@ -376,7 +376,7 @@
                 format!(r#"{{"uid":"s-{k}","endpoint":"{}","state":"Ready"}}"#, peer.local_addr().unwrap())
             });
             let entries: Vec<_> = entries.collect();
-            let discovery = Discovery::new(address, site.names.clone(), Rc::default());
+            let discovery = Discovery::new(address, &site, Rc::default());
             let known =
                 discovery.known(&format!(r#"{{"rev":1,"all":true,"targets":[{}]}}"#, entries.join(",")));
             let balancer = Balancer::new(site.settings.clone(), 7).unwrap();
