Testbed: play a large fleet against processes, with lists in pieces and kills

crates/testbed holds stand-ins on loopback: discovery's agent, which tells 3,200 servers in pieces of up to 16 KiB, breaks watches off and ends them, groups of servers that note each request, clients, and processes that are killed and start again with the list that they had. node/tests/large_fleet.rs checks the drain rule against what the servers saw, from the process's start, with 0.1 s for a busy machine.

--- /dev/null
+++ b/node/tests/large_fleet.rs
@@ -0,0 +1,50 @@
+//! Processes of the balancer in a fleet of thousands of servers, under faults drawn from a seed.
+//!
+//! By hand, with more seeds: `SOAK_SEEDS=50 cargo test --release -p maplehook --test large_fleet -- --nocapture`.
+
+use firlead_testbed::agent::AgentFaults;
+use firlead_testbed::soak::{Plan, play};
+use std::path::Path;
+use std::time::Duration;
+
+/// The grace for servers that drain, and what a busy machine may add to it.
+const GRACE: Duration = Duration::from_millis(300 + 100);
+/// Seeds played where no number of them is asked for. The code before 34b7ad0 broke the rule with each.
+const FEW_SEEDS: [u64; 3] = [1, 8, 10];
+
+fn seeds() -> Vec<u64> {
+    let asked = std::env::var("SOAK_SEEDS").ok().and_then(|count| count.parse().ok());
+    asked.map_or_else(|| FEW_SEEDS.to_vec(), |count: u64| (1..=count).collect())
+}
+
+/// Guards the drain rule in large fleets, with lists in pieces, broken watches and processes that start with an old list.
+#[test]
+fn a_large_fleet_drains_safely() {
+    let faults = AgentFaults { broken_off: 0.03, ended: 0.03, whole: 0.5, longest_piece: 16 * 1024 };
+    let plan =
+        Plan { servers: 3200, groups: 40, balancers: 3, lasts: Duration::from_secs(6), grace: GRACE, faults };
+    let folder = std::env::temp_dir().join(format!("large-fleet-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let mut failed = Vec::new();
+    for seed in seeds() {
+        let outcome = play(plan, seed, Path::new(env!("CARGO_BIN_EXE_maplehook")), &folder).unwrap();
+        println!(
+            "seed {seed}: {} starts, {} drains, {:?}, {} crashes, {} breaches, {} warnings",
+            outcome.starts,
+            outcome.drains,
+            outcome.answers,
+            outcome.crashes,
+            outcome.breaches.len(),
+            outcome.warnings.len()
+        );
+        for breach in &outcome.breaches {
+            println!("  {breach:?}");
+        }
+        let works = outcome.answers.served > 100 && outcome.answers.not_served * 50 < outcome.answers.served;
+        if !outcome.breaches.is_empty() || outcome.crashes > 0 || !works {
+            failed.push(seed);
+        }
+    }
+    let _ = std::fs::remove_dir_all(&folder);
+    assert!(failed.is_empty(), "seeds {failed:?}");
+}
