--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -3,9 +3,9 @@
 use crate::backoff::Backoff;
 use crate::connection::Connection;
 use crate::json_messages::{JsonMessages, Part, SplitError};
+use crate::list::{ListError, ListReader, News};
 use crate::metrics::Metrics;
 use crate::seldom::Seldom;
-use crate::upstream::Place;
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -13,17 +13,15 @@
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use lapisroute::{Availability, CellId, FleetScope, KindId, UpstreamId, ZoneId};
-use lapisroute_settings::{Names, Site};
-use serde::Deserialize;
-use serde_json::value::RawValue;
+use lapisroute::{Availability, FleetScope};
+use lapisroute_settings::Site;
 use std::cell::{Cell, RefCell};
-use std::error::Error;
+use std::error::Error as StdError;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use thiserror::Error as ThisError;
+use thiserror::Error;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::error::Elapsed;
@@ -45,95 +43,6 @@
 /// The longest list: more is no list.
 const LIST_MOST: usize = 8 * 1024 * 1024;
 
-/// An upstream as listed, for the library and for the connections.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
-    /// Its id, made of its uid alone: the same at every balancer, and wherever it listens.
-    pub id: UpstreamId,
-    /// Its zone.
-    pub zone: ZoneId,
-    /// Its kind.
-    pub kind: KindId,
-    /// Its cell.
-    pub cell: CellId,
-    /// Its weight.
-    pub weight: f64,
-    /// Where it is, and how it stands.
-    pub place: Place,
-}
-
-/// News of the list.
-#[derive(Clone, Debug, PartialEq)]
-pub struct News {
-    /// How complete it is.
-    pub scope: FleetScope,
-    /// The entries.
-    pub entries: Vec<Entry>,
-}
-
-impl News {
-    /// That a call failed or a watch ended.
-    pub fn failed() -> Self {
-        Self { scope: FleetScope::Failed, entries: Vec::new() }
-    }
-}
-
-#[derive(Deserialize)]
-struct RawList<'a> {
-    rev: u64,
-    #[serde(default)]
-    all: bool,
-    #[serde(borrow)]
-    targets: Vec<&'a RawValue>,
-}
-
-#[derive(Deserialize)]
-struct RawEntry<'a> {
-    uid: String,
-    #[serde(borrow, default)]
-    endpoint: Option<&'a RawValue>,
-    state: String,
-    #[serde(default)]
-    az: Option<String>,
-    #[serde(default)]
-    model: Option<String>,
-    #[serde(default)]
-    pod_group: Option<f64>,
-    #[serde(default)]
-    capacity_hint: Option<f64>,
-    #[serde(default)]
-    boot_ms: Option<f64>,
-}
-
-/// The weight of an upstream of which none is told.
-const WEIGHT_UNTOLD: f64 = 1.0;
-
-/// The part of an entry that tells whose it is.
-#[derive(Deserialize)]
-struct RawIdentity {
-    uid: String,
-}
-
-/// An upstream of which nothing more is known than that it may drain.
-fn unusable_entry(text: &str) -> Result<Entry, serde_json::Error> {
-    let identity: RawIdentity = serde_json::from_str(text)?;
-    Ok(Entry {
-        id: stable_id(&identity.uid),
-        zone: ZoneId(u8::MAX),
-        kind: KindId(u16::MAX),
-        cell: CellId(u16::MAX),
-        weight: WEIGHT_UNTOLD,
-        place: Place { endpoint: None, availability: Availability::Draining, boot_ms: 0 },
-    })
-}
-
-/// FNV-1a: an id that no process, build or machine sees differently.
-fn stable_id(uid: &str) -> UpstreamId {
-    UpstreamId(uid.bytes().fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-    }))
-}
-
 /// How far discovery has come with its first answer since the start.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Progress {
@@ -160,7 +69,7 @@
 /// Where discovery is, and how far this balancer has followed it.
 pub struct Discovery {
     address: Cell<SocketAddr>,
-    names: Names,
+    reader: ListReader,
     /// The version of the list in hand; 0: none.
     rev: Cell<u64>,
     watch: RefCell<Option<AbortHandle>>,
@@ -172,7 +81,7 @@
 }
 
 /// Why a call to discovery, or a watch, came to an end.
-#[derive(Debug, ThisError)]
+#[derive(Debug, Error)]
 pub enum DiscoveryError {
     /// Nothing that counts has come for too long.
     #[error("silent for too long")]
@@ -191,24 +100,13 @@
     Status(StatusCode),
     /// The answer's body failed or is too long.
     #[error("the answer: {0}")]
-    Body(Box<dyn Error + Send + Sync>),
+    Body(Box<dyn StdError + Send + Sync>),
     /// What came is no sequence of objects.
     #[error("unreadable: {0}")]
     Split(#[from] SplitError),
     /// An object is no list.
     #[error("unreadable list: {0}")]
-    List(#[from] serde_json::Error),
-}
-
-/// Why an entry of a list can't be taken as it is.
-#[derive(Debug, ThisError)]
-enum EntryError {
-    #[error("{0}")]
-    Json(#[from] serde_json::Error),
-    #[error("{uid}: unknown state {state:?}")]
-    State { uid: String, state: String },
-    #[error("{uid}: no address")]
-    NoAddress { uid: String },
+    List(#[from] ListError),
 }
 
 impl Discovery {
@@ -217,7 +115,7 @@
         let asked = site.settings.ask_for_fleet;
         Self {
             address: Cell::new(address),
-            names: site.names.clone(),
+            reader: ListReader::new(site.names.clone()),
             rev: Cell::new(0),
             watch: RefCell::default(),
             calls: if asked { Calls::OneAtATime } else { Calls::Overlapping },
@@ -254,48 +152,12 @@
         self.rev.get()
     }
 
-    /// Reads a list. Who can be told from an entry that is unreadable otherwise is taken to drain, so that
-    /// nothing is sent there; any other such entry is skipped. A list that can't be read is an error.
-    fn read(&self, text: &[u8]) -> Result<News, serde_json::Error> {
-        let list: RawList<'_> = serde_json::from_slice(text)?;
-        let entries = list.targets.iter().filter_map(|raw| {
-            let entry = self.entry(raw.get());
-            entry
-                .or_else(|e| {
-                    self.odd.warn(|| format!("unreadable list entry: {e}"));
-                    unusable_entry(raw.get())
-                })
-                .ok()
-        });
-        let entries: Vec<Entry> = entries.collect();
-        self.rev.set(list.rev);
-        let scope = if list.all { FleetScope::Full } else { FleetScope::Changes };
-        self.note_list(scope, &entries, text.len());
-        Ok(News { scope, entries })
-    }
-
-    fn entry(&self, text: &str) -> Result<Entry, EntryError> {
-        let raw: RawEntry<'_> = serde_json::from_str(text)?;
-        let availability = match raw.state.as_str() {
-            "Ready" => Availability::Ready,
-            "Terminating" => Availability::Draining,
-            "Gone" => Availability::Gone,
-            _ => return Err(EntryError::State { uid: raw.uid, state: raw.state }),
-        };
-        let endpoint = raw.endpoint.and_then(|e| serde_json::from_str(e.get()).ok());
-        if endpoint.is_none() && availability == Availability::Ready {
-            return Err(EntryError::NoAddress { uid: raw.uid });
-        }
-        let position =
-            |names: &[String], name: Option<String>| names.iter().position(|n| Some(n) == name.as_ref());
-        Ok(Entry {
-            id: stable_id(&raw.uid),
-            zone: ZoneId(position(&self.names.zones, raw.az).map_or(u8::MAX, |z| z as u8)),
-            kind: KindId(position(&self.names.kinds, raw.model).map_or(u16::MAX, |k| k as u16)),
-            cell: CellId(raw.pod_group.unwrap_or_default() as u16),
-            weight: raw.capacity_hint.unwrap_or(WEIGHT_UNTOLD),
-            place: Place { endpoint, availability, boot_ms: raw.boot_ms.unwrap_or_default().max(0.0) as u64 },
-        })
+    /// Reads a list and takes its version for the one in hand.
+    fn read(&self, text: &[u8]) -> Result<News, ListError> {
+        let list = self.reader.read(text)?;
+        self.rev.set(list.version);
+        self.note_list(&list.news, text.len());
+        Ok(list.news)
     }
 
     /// The list from the configuration, as [`FleetScope::Cached`].
@@ -311,11 +173,11 @@
         News { scope: FleetScope::Cached, entries }
     }
 
-    fn note_list(&self, scope: FleetScope, entries: &[Entry], bytes: usize) {
-        let in_state = |state| entries.iter().filter(|entry| entry.place.availability == state).count();
+    fn note_list(&self, news: &News, bytes: usize) {
+        let in_state = |state| news.entries.iter().filter(|e| e.place.availability == state).count();
         tracing::info!(
             version = self.rev.get(),
-            ?scope,
+            scope = ?news.scope,
             ready = in_state(Availability::Ready),
             draining = in_state(Availability::Draining),
             gone = in_state(Availability::Gone),
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -5,8 +5,9 @@
 //! is never entered twice; tasks only ever add to the queue.
 
 use crate::backoff::Backoff;
-use crate::discovery::{Discovery, News, Progress};
+use crate::discovery::{Discovery, Progress};
 use crate::headers::CORRELATION_ID;
+use crate::list::News;
 use crate::metrics::{AnswerKind, Metrics};
 use crate::upstream::{Ended, Outgoing, Served, Upstreams};
 use lapisroute::{
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -8,6 +8,7 @@
 mod driver;
 mod headers;
 mod json_messages;
+mod list;
 mod metrics;
 mod pool;
 mod requests;
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -274,7 +274,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::discovery::{Discovery, News};
+    use crate::discovery::Discovery;
+    use crate::list::News;
     use crate::upstream::Upstreams;
     use lapisroute::Balancer;
     use std::net::SocketAddr;
