--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -53,8 +53,6 @@
 /// do, while a long list takes its time to be read.
 const FIRST_LIST_MOST: Duration = Duration::from_secs(5);
 const FIRST_LIST_SILENCE_MOST: Duration = Duration::from_millis(400);
-/// How long the decisions may put off the first call, where the list has to be asked for.
-const FIRST_CALL_MOST: Duration = Duration::from_secs(1);
 /// How often the address is tried, and the pause between two tries.
 const BIND_TRIES: usize = 20;
 const BIND_PAUSE: Duration = Duration::from_millis(50);
@@ -105,8 +103,10 @@
         "starting"
     );
     let driver = Driver::start(balancer, upstreams, discovery, known, settings.ask_for_fleet);
-    let first_call = if settings.ask_for_fleet { FIRST_CALL_MOST } else { Duration::ZERO };
-    wait_for_list(&driver, first_call + FIRST_LIST_SILENCE_MOST).await;
+    // Where the list has to be asked for, discovery may be crowded by those that have just started, too.
+    if !settings.ask_for_fleet {
+        wait_for_list(&driver).await;
+    }
     // Nobody can connect before.
     let listener = socket.listen(BACKLOG)?;
     tracing::info!(listen = %listener.local_addr()?, version = driver.list_version(), "serving");
@@ -151,12 +151,12 @@
     Ok(socket)
 }
 
-/// Waits until discovery has told its list, or nothing has come from there for so long.
-async fn wait_for_list(driver: &Driver, silence_most: Duration) {
+/// Waits until discovery has told its list, or is silent.
+async fn wait_for_list(driver: &Driver) {
     let mut progress = driver.discovery_progress();
     let told = async {
         loop {
-            match timeout(silence_most, progress.changed()).await {
+            match timeout(FIRST_LIST_SILENCE_MOST, progress.changed()).await {
                 Ok(Ok(())) if *progress.borrow_and_update() == Progress::Told => return true,
                 Ok(Ok(())) => {}
                 Ok(Err(_)) | Err(_) => return false,
