--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -268,6 +268,29 @@
     }
 }
 
+/// A balancer that watches its discovery and has served a request at its only upstream, `s-0`.
+pub struct Watching {
+    pub upstream: Upstream,
+    pub node: Node,
+    pub client: Client,
+    pub watch: TcpStream,
+    pub calls: Receiver<(String, TcpStream)>,
+}
+
+impl Watching {
+    pub fn start() -> Self {
+        let upstream = Upstream::start(Then::Answer(OK));
+        let (discovery, calls) = discovery();
+        let mut setup = Setup::with(&[upstream.address]);
+        setup.discovery = discovery;
+        let node = setup.start();
+        let mut client = node.connect();
+        assert_eq!(client.exchange(&book(5000, "x")).status(), 200);
+        let (_, watch) = calls.recv_timeout(LONG).expect("a watch");
+        Self { upstream, node, client, watch, calls }
+    }
+}
+
 /// A running balancer; killed when dropped.
 pub struct Node {
     child: Child,
--- a/node/tests/discovery.rs
+++ b/node/tests/discovery.rs
@@ -32,14 +32,7 @@
 /// is no less readable than in one piece, and the watch goes on.
 #[test]
 fn a_change_may_be_cut_at_any_byte() {
-    let leaving = Upstream::start(Then::Answer(OK));
-    let (discovery, calls) = discovery();
-    let mut setup = Setup::with(&[leaving.address]);
-    setup.discovery = discovery;
-    let node = setup.start();
-    let mut client = node.connect();
-    assert_eq!(client.exchange(&book(5000, "x")).status(), 200);
-    let (_, watch) = calls.recv_timeout(LONG).expect("a watch");
+    let Watching { upstream: leaving, node: _node, mut client, watch, calls } = Watching::start();
     // Brackets and quotes in a string are no ends.
     let other = entry(r#"서울-\"]}{\\\u00e9\ud83d\ude00"#, nobody(), "Terminating");
     let other = other.replace(r#""capacity_hint":1.0"#, r#""capacity_hint":-1.5E+02"#);
@@ -60,14 +53,7 @@
 /// of its pieces too.
 #[test]
 fn a_list_of_thousands_may_come_in_small_pieces() {
-    let leaving = Upstream::start(Then::Answer(OK));
-    let (discovery, calls) = discovery();
-    let mut setup = Setup::with(&[leaving.address]);
-    setup.discovery = discovery;
-    let node = setup.start();
-    let mut client = node.connect();
-    assert_eq!(client.exchange(&book(5000, "x")).status(), 200);
-    let (_, watch) = calls.recv_timeout(LONG).expect("a watch");
+    let Watching { upstream: leaving, node: _node, watch, calls, .. } = Watching::start();
     write_in_chunks(&watch, large_list(2, nobody(), "Terminating", "Ready").as_bytes(), 16);
     until("its idle connection is closed", || leaving.ended() == 1);
     assert!(calls.try_recv().is_err(), "the watch was begun anew");
@@ -117,14 +103,7 @@
         (r#""boot_ms":0"#, r#""boot_ms":null"#),
         (r#""capacity_hint":1.0"#, r#""capacity_hint":[]"#),
     ] {
-        let leaving = Upstream::start(Then::Answer(OK));
-        let (discovery, calls) = discovery();
-        let mut setup = Setup::with(&[leaving.address]);
-        setup.discovery = discovery;
-        let node = setup.start();
-        let mut client = node.connect();
-        assert_eq!(client.exchange(&book(5000, "x")).status(), 200);
-        let (_, watch) = calls.recv_timeout(LONG).expect("a watch");
+        let Watching { upstream: leaving, node: _node, mut client, watch, .. } = Watching::start();
         let odd = entry("s-0", leaving.address, "Terminating").replace(from, to);
         tell(&watch, &list(2, false, &[odd]));
         until("its idle connection is closed", || leaving.ended() == 1);
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -212,14 +212,7 @@
 /// soon as its last byte is here.
 #[test]
 fn an_indented_list_counts_as_soon_as_it_is_whole() {
-    let leaving = Upstream::start(Then::Answer(OK));
-    let (discovery, calls) = discovery();
-    let mut setup = Setup::with(&[leaving.address]);
-    setup.discovery = discovery;
-    let node = setup.start();
-    let mut client = node.connect();
-    assert_eq!(client.exchange(&book(5000, "x")).status(), 200);
-    let (_, watch) = calls.recv_timeout(LONG).expect("a watch");
+    let Watching { upstream: leaving, node: _node, mut client, watch, calls } = Watching::start();
     let drains = list(3, false, &[entry("s-0", leaving.address, "Terminating")]);
     let both = format!("{}\n{drains}", list(2, false, &[])).replace(',', ",\n  ").replace('{', "{\n    ");
     let (head, tail) = both.split_at(both.len() - 1);
