Serve classes with a latency objective under two ticks instead of panicking

What callers saw: a balancer whose settings have a class with aim_ms under 50 starts, and ends with a panic at the first attempt of that class that is recorded; every request that it holds is lost, again after each restart.

Cause: ClassLatency::record keeps the typical latency between two ticks (50 ms) and the objective by f64::clamp, which panics where min > max.

Why this works: the two bounds are applied one after the other, the objective last, so that no order of them panics; for objectives of 50 ms and more the value is the same as before.

--- a/crates/core/src/latency.rs
+++ b/crates/core/src/latency.rs
@@ -24,7 +24,8 @@
 const TYPICAL_QUANTILE: f64 = 0.95;
 /// Relative step by which the estimate of that quantile follows each attempt.
 const QUANTILE_STEP: f64 = 0.05;
-/// The least typical latency: two ticks, as overdue attempts are looked for once per tick.
+/// The least typical latency: two ticks, as overdue attempts are looked for once per tick. A shorter latency
+/// objective takes its place.
 const MIN_TYPICAL_SECONDS: f64 = 2.0 * crate::balancer::TICK_SECONDS;
 /// Share of the latency objective after which an attempt is overdue at the latest, so that a hedged request
 /// or a retry still has time.
@@ -124,7 +125,7 @@
         } else {
             1.0 - QUANTILE_STEP * (1.0 - TYPICAL_QUANTILE)
         };
-        self.typical = (self.typical * factor).clamp(MIN_TYPICAL_SECONDS, objective);
+        self.typical = (self.typical * factor).max(MIN_TYPICAL_SECONDS).min(objective);
         let latency = match sample {
             LatencySample::Served(latency) => latency,
             LatencySample::Abandoned(latency) => ABANDONED_LATENCY_FACTOR * latency,
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -36,8 +36,7 @@
 /// A class of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RequestClass {
-    /// A response within this time earns the full priority weight. Below 50 ms (two ticks) a balancer panics
-    /// when it records an attempt of the class; this is not validated yet.
+    /// A response within this time earns the full priority weight.
     pub latency_objective: Duration,
     /// The latency objective grows by this multiple of the request's own work. The present decisions only ask
     /// whether it is positive: a response is then of use until the deadline.
