Bound deadlines by the clock's range: a huge connect timeout ended the process

What callers saw: with limits.connect_timeout_ms of 1.8e22 or more, which the validation accepts, the first attempt of a new process ends it with all requests that it holds ("overflow when adding duration to instant").

Cause: check_out adds the connect timeout to the present Instant; the sum lies beyond what an Instant can hold. driver/actions.rs adds an attempt's timeout in the same way.

The test added here failed before with the same message and passes now.

Why this works: a timeout whose end the clock can't hold never ends, so the request's own deadline is the one that counts. The other sums of an Instant in crates/proxy are of constants, or of a number of milliseconds in 64 bits, which fits.

--- a/crates/proxy/src/driver/actions.rs
+++ b/crates/proxy/src/driver/actions.rs
@@ -1,5 +1,6 @@
 //! How each action of the balancer is carried out.
 
+use crate::deadline::earlier_of;
 use crate::driver::event_queue::DriverEvent;
 use crate::driver::in_flight::Attempt;
 use crate::driver::request::FinalResponse;
@@ -47,7 +48,8 @@
         let sent_at = Instant::now();
         let index = request.next_attempt();
         let incoming = Rc::clone(&request.incoming);
-        let deadline = timeout.map_or(incoming.deadline, |timeout| incoming.deadline.min(sent_at + timeout));
+        let deadline =
+            timeout.map_or(incoming.deadline, |timeout| earlier_of(incoming.deadline, sent_at, timeout));
         let driver = Rc::clone(self);
         let task = spawn_local(async move {
             let outgoing = &incoming.outgoing;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -2,6 +2,7 @@
 //! library.
 
 mod config;
+mod deadline;
 mod discovery;
 mod downstream;
 mod driver;
--- a/crates/proxy/src/upstream/checkout/tests.rs
+++ b/crates/proxy/src/upstream/checkout/tests.rs
@@ -48,6 +48,25 @@
     check_that_a_waiting_attempt_gets_the_connection(OTHER_UPSTREAM).await;
 }
 
+/// A timeout that ends beyond the range of the clock must not end the process.
+#[tokio::test(flavor = "local")]
+async fn the_longest_connect_timeout_that_settings_can_state_is_served() {
+    let fixture = Fixture::with_connect_timeout(1, Duration::MAX).await;
+
+    let attempt = fixture.spawn_attempt(UPSTREAM);
+    let respond_to_it = async {
+        let mut stream = fixture.accept_request().await;
+        respond(&mut stream, EMPTY_RESPONSE).await;
+        std::future::pending().await
+    };
+    let result = tokio::select! {
+        result = attempt => result,
+        () = respond_to_it => unreachable!("it never ends"),
+    };
+
+    assert_eq!(result.expect("no panic").outcome, Outcome::Ok);
+}
+
 /// The end of a connection to a process that is gone may never be seen.
 #[tokio::test(flavor = "local")]
 async fn a_connection_is_not_kept_if_the_upstream_restarted_while_it_was_in_use() {
--- a/crates/proxy/src/upstream/test_support.rs
+++ b/crates/proxy/src/upstream/test_support.rs
@@ -38,12 +38,14 @@
 impl Fixture {
     /// A fixture in which so many connections may be open at once.
     pub async fn with_max_connections(max_connections: usize) -> Self {
+        Self::with_connect_timeout(max_connections, LONG_TIMEOUT).await
+    }
+
+    /// A fixture with a connect timeout, in which so many connections may be open at once.
+    pub async fn with_connect_timeout(max_connections: usize, connect_timeout: Duration) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let settings = Settings {
-            connect_timeout: LONG_TIMEOUT,
-            connection_idle_timeout: LONG_TIMEOUT,
-            ..Settings::default()
-        };
+        let settings =
+            Settings { connect_timeout, connection_idle_timeout: LONG_TIMEOUT, ..Settings::default() };
         let budget = MAX_LENGTH_BODIES_IN_BUDGET * MAX_RESPONSE_BODY_BYTES;
         let upstreams = Rc::new(Upstreams::new(&settings, max_connections, budget, Rc::default()));
         let address = Some(listener.local_addr().unwrap());
