Cap the descriptors counted on: a huge limits.sockets ended the start by a panic

From 2^33 on, the wait for the last client at the end of a shutdown counted slots modulo 2^32.

Cause: the number goes from the file to two semaphores without a bound.

The test added here states the bound that is new.

Why this works: no more than 2^20 descriptors are counted on, the most that a process gets on Linux by default; both semaphores and the cast to u32 hold that many. Smaller numbers are used as before.

--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -17,6 +17,9 @@
 /// Descriptors kept for standard streams, the poller, the listening socket and calls to discovery (about ten
 /// overlapping).
 const RESERVED_DESCRIPTORS: usize = 24;
+/// The most descriptors that are counted on: what Linux lets a process have by default (`fs.nr_open`). The
+/// semaphores that divide them hold no arbitrary number.
+const MAX_DESCRIPTORS: usize = 1 << 20;
 /// Fraction of the other descriptors that connections to upstreams may use; clients get the rest.
 const UPSTREAM_SOCKET_FRACTION: f64 = 0.45;
 /// Buffered responses may use one part in this many of the memory. Reading a response holds it twice for a
@@ -104,7 +107,7 @@
     pub cores: f64,
     /// Memory in MiB.
     pub memory_mb: u64,
-    /// File descriptors.
+    /// File descriptors; at most [`MAX_DESCRIPTORS`] are used.
     pub sockets: usize,
 }
 
@@ -130,14 +133,16 @@
         let raw: RawConfig<'_> = serde_json::from_str(text)?;
         let seed = u64::from_str_radix(&raw.seed, 16)?;
         let site = balancer_settings::parse(raw.settings.get())?;
-        if raw.limits.sockets < 2 * RESERVED_DESCRIPTORS {
-            return Err(InvalidConfig::TooFewSockets(raw.limits.sockets));
+        let mut limits = raw.limits;
+        if limits.sockets < 2 * RESERVED_DESCRIPTORS {
+            return Err(InvalidConfig::TooFewSockets(limits.sockets));
         }
+        limits.sockets = limits.sockets.min(MAX_DESCRIPTORS);
         Ok(Self {
             listen: raw.listen,
             discovery: raw.discovery,
             seed,
-            limits: raw.limits,
+            limits,
             cached_endpoints: raw.known.map_or_else(String::new, |cached| cached.get().to_owned()),
             site,
         })
--- a/crates/proxy/src/config/tests.rs
+++ b/crates/proxy/src/config/tests.rs
@@ -14,6 +14,18 @@
     assert!(config.cached_endpoints.contains("targets"));
 }
 
+/// The process ended at its start where the number exceeded what a semaphore holds.
+#[test]
+fn more_descriptors_than_a_process_can_have_are_not_counted_on() {
+    for sockets in [MAX_DESCRIPTORS + 1, usize::MAX] {
+        let config = Config::parse(&VALID.replace("1024", &sockets.to_string())).unwrap();
+
+        let total =
+            config.max_upstream_connections() + config.max_client_connections() + RESERVED_DESCRIPTORS;
+        assert_eq!(total, MAX_DESCRIPTORS, "of {sockets}");
+    }
+}
+
 #[test]
 fn an_error_names_the_invalid_field_or_value() {
     for (valid, invalid, named) in [
