--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -91,8 +91,8 @@
 pub use event::{Availability, EndpointEntry, Event, Outcome, UpdateScope};
 pub use ids::*;
 pub use settings::{
-    DeduplicationScope, LoadField, LoadReporting, Prices, RequestClass, RetrySafety, Settings, SettingsError,
-    SettingsField, Tenant, WeightKind,
+    AllowedRange, DeduplicationScope, LoadField, LoadReporting, OutOfRange, Prices, RequestClass,
+    RetrySafety, Settings, SettingsError, SettingsField, Tenant, WeightKind,
 };
 
 /// Runs the example in the README as a test.
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 use thiserror::Error;
 
+const MS_PER_SECOND: f64 = 1e3;
+
 /// Whether a request may be executed more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetrySafety {
@@ -298,8 +300,40 @@
     }
 }
 
+/// What a value in [`Settings`] may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AllowedRange {
+    /// A finite number, not negative.
+    FiniteNotNegative,
+    /// More than zero.
+    Positive,
+    /// Less than the number of balancers.
+    BelowBalancerCount,
+}
+
+impl fmt::Display for AllowedRange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::FiniteNotNegative => "a finite number from 0",
+            Self::Positive => "more than 0",
+            Self::BelowBalancerCount => "less than the number of balancers",
+        })
+    }
+}
+
+/// A value in [`Settings`] that is out of range.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OutOfRange {
+    /// Where it stands.
+    pub field: SettingsField,
+    /// The value; durations are in milliseconds.
+    pub value: f64,
+    /// What is allowed.
+    pub allowed: AllowedRange,
+}
+
 /// Why a balancer cannot run with some [`Settings`].
-#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[derive(Clone, Debug, Error, PartialEq)]
 pub enum SettingsError {
     /// There are no request classes.
     #[error("settings: no request class is defined")]
@@ -307,9 +341,9 @@
     /// The number of balancers is zero.
     #[error("settings: the number of balancers is zero")]
     NoBalancers,
-    /// The named value is negative, not a number, or zero where it must not be.
-    #[error("settings: {0} is out of range")]
-    OutOfRange(SettingsField),
+    /// A value is negative, not a number, or zero where it must not be.
+    #[error("settings: {} is {}, allowed is {}", .0.field, .0.value, .0.allowed)]
+    OutOfRange(OutOfRange),
 }
 
 impl Settings {
@@ -321,15 +355,12 @@
         if self.balancers == 0 {
             return Err(SettingsError::NoBalancers);
         }
-        if self.max_attempts == 0 {
-            return Err(SettingsError::OutOfRange(SettingsField::MaxAttempts));
-        }
+        require_positive(SettingsField::MaxAttempts, f64::from(self.max_attempts))?;
         if self.index >= self.balancers {
-            return Err(SettingsError::OutOfRange(SettingsField::Index));
-        }
-        if self.max_streams == 0 {
-            return Err(SettingsError::OutOfRange(SettingsField::MaxStreams));
+            let value = f64::from(self.index);
+            return Err(out_of_range(SettingsField::Index, value, AllowedRange::BelowBalancerCount));
         }
+        require_positive(SettingsField::MaxStreams, f64::from(self.max_streams))?;
         require_finite(SettingsField::OverQuotaWeight, self.over_quota_weight)?;
         require_finite(SettingsField::SlowStartFloor, self.slow_start_floor)?;
         require_finite(SettingsField::OverloadFactor, self.overload_factor)?;
@@ -358,9 +389,8 @@
 
 impl RequestClass {
     fn validate(&self) -> Result<(), SettingsError> {
-        if self.latency_objective.is_zero() {
-            return Err(SettingsError::OutOfRange(SettingsField::LatencyObjective));
-        }
+        let objective_ms = self.latency_objective.as_secs_f64() * MS_PER_SECOND;
+        require_positive(SettingsField::LatencyObjective, objective_ms)?;
         require_finite(SettingsField::PriorityWeight, self.priority_weight)?;
         require_finite(SettingsField::LatePriorityWeight, self.late_priority_weight)?;
         require_finite(SettingsField::LatencyObjectiveStretch, self.latency_objective_stretch)
@@ -369,5 +399,15 @@
 
 /// Accepts a finite value that is not negative.
 fn require_finite(field: SettingsField, value: f64) -> Result<(), SettingsError> {
-    if value >= 0.0 && value.is_finite() { Ok(()) } else { Err(SettingsError::OutOfRange(field)) }
+    let is_allowed = value >= 0.0 && value.is_finite();
+    if is_allowed { Ok(()) } else { Err(out_of_range(field, value, AllowedRange::FiniteNotNegative)) }
+}
+
+/// Accepts a value above zero.
+fn require_positive(field: SettingsField, value: f64) -> Result<(), SettingsError> {
+    if value > 0.0 { Ok(()) } else { Err(out_of_range(field, value, AllowedRange::Positive)) }
+}
+
+fn out_of_range(field: SettingsField, value: f64, allowed: AllowedRange) -> SettingsError {
+    SettingsError::OutOfRange(OutOfRange { field, value, allowed })
 }
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -71,9 +71,13 @@
 /// Why a text is no valid configuration. Each message names the field.
 #[derive(Debug, Error)]
 pub enum InvalidConfig {
-    /// The text is no JSON object with the required fields.
+    /// The text is no JSON object with the required fields, or a value has the wrong type. The message names
+    /// the field.
     #[error("{0}")]
-    Json(#[from] serde_json::Error),
+    Json(#[from] serde_path_to_error::Error<serde_json::Error>),
+    /// The object is followed by something else.
+    #[error("{0}")]
+    TrailingText(serde_json::Error),
     /// `seed` is no hexadecimal number of 64 bits.
     #[error("seed: {0}")]
     Seed(#[from] ParseIntError),
@@ -130,7 +134,9 @@
     }
 
     fn parse(text: &str) -> Result<Self, InvalidConfig> {
-        let raw: RawConfig<'_> = serde_json::from_str(text)?;
+        let mut deserializer = serde_json::Deserializer::from_str(text);
+        let raw: RawConfig<'_> = serde_path_to_error::deserialize(&mut deserializer)?;
+        deserializer.end().map_err(InvalidConfig::TrailingText)?;
         let seed = u64::from_str_radix(&raw.seed, 16)?;
         let site = balancer_settings::parse(raw.settings.get())?;
         let mut limits = raw.limits;
--- a/crates/proxy/src/config/tests.rs
+++ b/crates/proxy/src/config/tests.rs
@@ -32,6 +32,8 @@
         ("127.0.0.1:9", "nowhere", "socket address"),
         ("8c1f", "zzzz", "seed"),
         ("1024", "20", "sockets"),
+        ("1024", "1.5", "limits.sockets"),
+        ("}}", "}} x", "trailing"),
         ("idempotent", "maybe", "maybe"),
     ] {
         let error = Config::parse(&VALID.replace(valid, invalid)).unwrap_err().to_string();
--- a/crates/proxy/tests/common/client.rs
+++ b/crates/proxy/tests/common/client.rs
@@ -1,7 +1,7 @@
 //! A client of the proxy, and its requests.
 
 use super::{Message, TIMEOUT};
-use std::io::{BufReader, Read, Write};
+use std::io::{self, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
 /// A client's connection.
@@ -12,9 +12,14 @@
 impl Client {
     /// Connects to a proxy.
     pub fn connect(address: SocketAddr) -> Self {
-        let stream = TcpStream::connect(address).unwrap();
-        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
-        Self { reader: BufReader::new(stream) }
+        Self::try_connect(address).unwrap()
+    }
+
+    /// Connects to a proxy, if it listens.
+    pub fn try_connect(address: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(address)?;
+        stream.set_read_timeout(Some(TIMEOUT))?;
+        Ok(Self { reader: BufReader::new(stream) })
     }
 
     /// Sends a text, such as a request or a part of one.
--- a/crates/proxy/tests/common/process.rs
+++ b/crates/proxy/tests/common/process.rs
@@ -2,18 +2,21 @@
 
 use super::log_text::LISTEN_FIELD;
 use super::{Client, wait_until};
-use std::io::{BufRead, BufReader, Read};
+use std::io::{self, BufRead, BufReader, Read};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
 
 /// A running proxy; killed when it is dropped.
 pub struct ProxyProcess {
     child: Child,
     config_path: PathBuf,
     log: Arc<Mutex<Vec<String>>>,
+    /// Ends with the log.
+    log_reader: Option<JoinHandle<()>>,
 }
 
 impl ProxyProcess {
@@ -34,8 +37,11 @@
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
-        let log = collect_lines(child.stderr.take().expect("a piped stderr"));
-        Self { child, config_path, log }
+        let log: Arc<Mutex<Vec<String>>> = Arc::default();
+        let collected = Arc::clone(&log);
+        let stderr = child.stderr.take().expect("a piped stderr");
+        let log_reader = Some(std::thread::spawn(move || collect_lines(stderr, &collected)));
+        Self { child, config_path, log, log_reader }
     }
 
     /// Whether clients can connect.
@@ -55,6 +61,16 @@
         Client::connect(self.listen_address().expect("the proxy listens"))
     }
 
+    /// Connects a client; fails if the process does not listen any more.
+    pub fn try_connect(&self) -> io::Result<Client> {
+        Client::try_connect(self.listen_address().ok_or(io::ErrorKind::NotConnected)?)
+    }
+
+    /// The lines of its log so far.
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().unwrap().clone()
+    }
+
     /// Whether a line of its log contains this text.
     pub fn has_logged(&self, text: &str) -> bool {
         self.log.lock().unwrap().iter().any(|line| line.contains(text))
@@ -88,6 +104,15 @@
         status.expect("the proxy has ended")
     }
 
+    /// Waits until the process has ended by itself and its log is complete.
+    pub fn wait_for_complete_log(&mut self) -> ExitStatus {
+        let status = self.wait();
+        if let Some(reader) = self.log_reader.take() {
+            reader.join().expect("a log can be read");
+        }
+        status
+    }
+
     /// Whether the process has not ended.
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
@@ -111,13 +136,8 @@
 }
 
 /// Collects the lines of a log. It has to be read all the time, or the process would block on a full pipe.
-fn collect_lines(log: impl Read + Send + 'static) -> Arc<Mutex<Vec<String>>> {
-    let lines: Arc<Mutex<Vec<String>>> = Arc::default();
-    let collected = Arc::clone(&lines);
-    std::thread::spawn(move || {
-        for line in BufReader::new(log).lines().map_while(Result::ok) {
-            collected.lock().unwrap().push(line);
-        }
-    });
-    lines
+fn collect_lines(log: impl Read, lines: &Mutex<Vec<String>>) {
+    for line in BufReader::new(log).lines().map_while(Result::ok) {
+        lines.lock().unwrap().push(line);
+    }
 }
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -5,9 +5,12 @@
 /// Why a text is not a settings object.
 #[derive(Debug, Error)]
 pub enum SettingsParseError {
-    /// The text is not JSON, or a value has the wrong type.
+    /// The text is not JSON, or a value has the wrong type. The message names the key.
     #[error("settings: {0}")]
-    Json(serde_json::Error),
+    Json(serde_path_to_error::Error<serde_json::Error>),
+    /// The object is followed by something else.
+    #[error("settings: {0}")]
+    TrailingText(serde_json::Error),
     /// The retry safety of a class has an unknown value.
     #[error("settings: class {class:?}: unknown effect {value:?}")]
     UnknownRetrySafety {
--- a/crates/settings/src/invalid_settings.rs
+++ b/crates/settings/src/invalid_settings.rs
@@ -1,6 +1,6 @@
 //! Validation errors in the terms of the settings object.
 
-use balancer_core::{SettingsError, SettingsField};
+use balancer_core::{OutOfRange, SettingsError, SettingsField};
 use thiserror::Error;
 
 /// A [`SettingsError`] whose message names the value as the settings object does.
@@ -10,7 +10,9 @@
 
 fn message(error: &SettingsError) -> String {
     match error {
-        SettingsError::OutOfRange(field) => format!("settings: {} is out of range", wire_name(*field)),
+        SettingsError::OutOfRange(OutOfRange { field, value, allowed }) => {
+            format!("settings: {} is {value}, allowed is {allowed}", wire_name(*field))
+        }
         SettingsError::NoClasses | SettingsError::NoBalancers => error.to_string(),
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -25,6 +25,9 @@
 /// class names no or an unknown deduplication scope. Ranges are not checked here:
 /// [`balancer_core::Balancer::new`] does that.
 pub fn parse(text: &str) -> Result<Site, SettingsParseError> {
-    let object: wire_format::SettingsObject = serde_json::from_str(text).map_err(SettingsParseError::Json)?;
+    let mut deserializer = serde_json::Deserializer::from_str(text);
+    let object: wire_format::SettingsObject =
+        serde_path_to_error::deserialize(&mut deserializer).map_err(SettingsParseError::Json)?;
+    deserializer.end().map_err(SettingsParseError::TrailingText)?;
     Site::try_from(object)
 }
--- a/crates/settings/tests/errors.rs
+++ b/crates/settings/tests/errors.rs
@@ -1,6 +1,6 @@
 //! Errors name the key and the value at fault, as the settings object does.
 
-use balancer_core::{SettingsError, SettingsField};
+use balancer_core::{AllowedRange, OutOfRange, SettingsError, SettingsField};
 use balancer_settings::{InvalidSettings, SettingsParseError, parse};
 
 fn error_of(text: &str) -> SettingsParseError {
@@ -12,7 +12,7 @@
     let error = error_of(r#"{"balancers": "#);
 
     assert!(matches!(error, SettingsParseError::Json(_)));
-    assert_eq!(error.to_string(), "settings: EOF while parsing a value at line 1 column 14");
+    assert_eq!(error.to_string(), "settings: balancers: EOF while parsing a value at line 1 column 14");
 }
 
 #[test]
@@ -21,7 +21,11 @@
 
     assert_eq!(
         error.to_string(),
-        r#"settings: invalid type: string "three", expected u32 at line 1 column 21"#
+        r#"settings: balancers: invalid type: string "three", expected u32 at line 1 column 21"#
+    );
+    assert_eq!(
+        error_of(r#"{"classes": [{}, {"aim_ms": true}]}"#).to_string(),
+        "settings: classes[1].aim_ms: invalid type: boolean `true`, expected f64 at line 1 column 32"
     );
 }
 
@@ -90,9 +94,10 @@
         (SettingsField::LatencyObjectiveStretch, "class aim_stretch"),
         (SettingsField::QuotaPerSecond, "allowance_per_s"),
     ] {
-        let error = InvalidSettings(SettingsError::OutOfRange(field));
+        let out_of_range = OutOfRange { field, value: -1.5, allowed: AllowedRange::FiniteNotNegative };
+        let error = InvalidSettings(SettingsError::OutOfRange(out_of_range));
 
-        assert_eq!(error.to_string(), format!("settings: {name} is out of range"));
+        assert_eq!(error.to_string(), format!("settings: {name} is -1.5, allowed is a finite number from 0"));
     }
 }
 
