--- a/crates/core/src/upstreams/load_reports.rs
+++ b/crates/core/src/upstreams/load_reports.rs
@@ -61,9 +61,10 @@
         }
     }
 
-    /// Sets the requests in flight from other balancers.
+    /// Sets the requests in flight from other balancers. A number beyond what is believed counts as the
+    /// largest one that is, and so does NaN.
     pub(crate) fn set_in_flight(&mut self, now: Timestamp, in_flight: f64) {
-        self.in_flight = in_flight;
+        self.in_flight = in_flight.min(MAX_REPORTED_VALUE);
         self.in_flight_at = now;
     }
 
--- a/crates/core/tests/invalid_input.rs
+++ b/crates/core/tests/invalid_input.rs
@@ -120,3 +120,21 @@
 
     assert_eq!(harness.response(id), Some(FinalResponse::Served));
 }
+
+/// A live weight is divided into the largest one seen; where the quotient is beyond the range of numbers, the
+/// upstream would never be chosen again.
+#[test]
+fn an_upstream_with_a_live_weight_at_the_edge_of_the_range_still_takes_requests() {
+    const EXTREME: UpstreamId = UpstreamId(1);
+    let settings = Settings { weight_kind: WeightKind::Live, ..settings().build() };
+    let mut harness = BalancerHarness::new(settings, &endpoints(2));
+    for weight in [f64::MAX, f64::MIN_POSITIVE] {
+        let entries = [1, 2].map(|id| EndpointBuilder::new(id).weight(weight).build());
+        harness.update_endpoints(UpdateScope::Delta, &entries);
+    }
+    harness.advance(ms(20_000));
+
+    harness.play_requests(100, ms(30), |_| Some(Outcome::Ok));
+
+    assert!(harness.attempts_sent_to(EXTREME) > 20, "{} of 100", harness.attempts_sent_to(EXTREME));
+}
