Warn at the start of unknown values and of classes that can never be served

What operators saw: nothing. An unknown value of discovery, worth_by, weight_kind or telemetry.how counted as absent without a word (a misspelt "inline" switches load reports off), and every request of a class whose hard_limit_ms is 4 ms or less is rejected, as that much is kept for the transfer.

Now one warning each names key, value and what is used instead; the balancer serves as before. The two tests added here failed before (no such line, no such field). The test that an unknown value counts as absent compares settings and names as before; the warning beside them is asserted by the new test.

--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -7,5 +7,5 @@
 mod correlation_ids;
 mod handler;
 pub mod listener;
-mod request;
+pub mod request;
 mod response;
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -27,6 +27,11 @@
 const TRANSFER_ALLOWANCE: Duration = Duration::from_millis(4);
 const MICROSECONDS_PER_MILLISECOND: f64 = 1e3;
 
+/// Whether requests of a class with this deadline can be served at all.
+pub fn can_be_served(deadline: Duration) -> bool {
+    deadline > TRANSFER_ALLOWANCE
+}
+
 /// Why a request is rejected before it reaches the balancer. The message is the body of the response.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub enum RequestError {
--- a/crates/proxy/src/startup.rs
+++ b/crates/proxy/src/startup.rs
@@ -3,6 +3,7 @@
 use crate::config::{Config, ConfigError};
 use crate::discovery::client::{Discovery, FirstListProgress};
 use crate::downstream::listener::Listener;
+use crate::downstream::request::can_be_served;
 use crate::driver::Driver;
 use crate::lifecycle::LifecyclePhase;
 use crate::metrics::Metrics;
@@ -10,7 +11,7 @@
 use crate::signals::SignalFlag;
 use crate::upstream::Upstreams;
 use balancer_core::Balancer;
-use balancer_settings::InvalidSettings;
+use balancer_settings::{InvalidSettings, Site};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -71,6 +72,7 @@
 /// Starts a proxy. Returns once clients can connect. Fails if the settings are invalid, a signal handler
 /// cannot be registered or the address cannot be bound or listened on.
 pub async fn start(config: &Config) -> Result<RunningProxy, StartupError> {
+    log_warnings(&config.site);
     let balancer = Balancer::new(config.site.settings.clone(), config.seed).map_err(InvalidSettings)?;
     // Both handlers are set before anybody can know that this process is ready: unhandled, the signals would
     // kill it.
@@ -94,6 +96,19 @@
     Ok(RunningProxy { terminate, driver, phase, accept_loop })
 }
 
+/// Logs what the author of the settings has to know of.
+fn log_warnings(site: &Site) {
+    for warning in &site.warnings {
+        tracing::warn!("settings: {warning}");
+    }
+    for (name, class) in site.names.classes.iter().zip(&site.settings.classes) {
+        if !can_be_served(class.deadline) {
+            let deadline = class.deadline;
+            tracing::warn!(class = name, ?deadline, "settings: hard_limit_ms is too short for any response");
+        }
+    }
+}
+
 /// Starts the driver with the cached endpoint list.
 fn start_driver(config: &Config, balancer: Balancer, metrics: &Rc<Metrics>) -> Rc<Driver> {
     let settings = &config.site.settings;
--- a/crates/proxy/tests/lifecycle.rs
+++ b/crates/proxy/tests/lifecycle.rs
@@ -92,3 +92,22 @@
     assert!(idle.is_closed(), "idle connections are closed");
     assert!(proxy.wait().success());
 }
+
+/// Settings that can be used but do not mean what they seem to are told at the start, and the balancer serves.
+#[test]
+fn unknown_values_and_a_class_that_can_never_be_served_are_logged_at_the_start() {
+    let upstream = StubUpstream::start(Behavior::Respond(OK_RESPONSE));
+    let short_class = r#"{"name":"keyed","aim_ms":1,"hard_limit_ms":0.5,"effect":"idempotent"}"#;
+    let config = ProxyConfig::new(&[upstream.address]).text();
+    let keyed_class =
+        &config[config.find(r#"{"name":"keyed""#).unwrap()..config.find(r#"],"discovery""#).unwrap()];
+    let config = config
+        .replace(keyed_class, short_class)
+        .replace(r#""discovery":"automatic""#, r#""discovery":"pushed""#);
+    let proxy = ProxyProcess::launch(&config, 256);
+    wait_until("the proxy listens", || proxy.is_listening());
+
+    assert!(proxy.has_logged(r#"discovery is "pushed", which is unknown; "automatic" is used instead"#));
+    assert!(proxy.has_logged("hard_limit_ms is too short") && proxy.has_logged("keyed"));
+    assert_eq!(proxy.connect().exchange(&at_most_once_request(5000, "x")).status(), 200);
+}
--- a/crates/settings/src/conversion.rs
+++ b/crates/settings/src/conversion.rs
@@ -3,6 +3,7 @@
 use crate::duration::duration_from_ms;
 use crate::error::SettingsParseError;
 use crate::site::{Site, SiteNames};
+use crate::warning::unknown_values;
 use crate::wire_format::{ClassObject, GoalObject, PricesObject, SettingsObject, TenantObject};
 use balancer_core::{
     DeduplicationScope, LoadField, LoadReporting, Prices, RequestClass, RetrySafety, Settings, Tenant,
@@ -19,8 +20,9 @@
 
     fn try_from(object: SettingsObject) -> Result<Self, Self::Error> {
         let settings = Settings::try_from(&object)?;
+        let warnings = unknown_values(&object);
         let names = SiteNames::from(object);
-        Ok(Self { settings, names })
+        Ok(Self { settings, names, warnings })
     }
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,13 +4,14 @@
 //! Unknown keys are ignored. A missing key takes the value of `Settings::default()`, except for
 //! `weight_kind`: without it weights are ignored. `null` stands for a missing key where the field is
 //! optional; in any other field it is an error. An unknown value of `discovery`, `worth_by`, `weight_kind` or
-//! `telemetry.how` counts as absent; an unknown load report field becomes `LoadField::Other`.
+//! `telemetry.how` counts as absent, and a [`SettingsWarning`] says so; an unknown load report field becomes `LoadField::Other`.
 
 mod conversion;
 mod duration;
 mod error;
 mod invalid_settings;
 mod site;
+mod warning;
 mod wire_format;
 
 pub use conversion::load_field;
@@ -18,6 +19,7 @@
 pub use error::SettingsParseError;
 pub use invalid_settings::InvalidSettings;
 pub use site::{Site, SiteNames};
+pub use warning::SettingsWarning;
 
 /// Parses a settings object.
 ///
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -1,5 +1,6 @@
 //! The result of parsing a settings object.
 
+use crate::warning::SettingsWarning;
 use balancer_core::Settings;
 
 /// The typed settings of a site, with the names that their indices stand for.
@@ -9,6 +10,8 @@
     pub settings: Settings,
     /// The names of classes, tenants, zones and hardware.
     pub names: SiteNames,
+    /// What the author of the settings has to know of.
+    pub warnings: Vec<SettingsWarning>,
 }
 
 /// Names by index: classes and tenants in the order of [`Settings`], zones and hardware by their ids.
--- a/crates/settings/tests/defaults.rs
+++ b/crates/settings/tests/defaults.rs
@@ -32,7 +32,8 @@
     ] {
         let site = parse(text).expect("an unknown value is valid");
 
-        assert_eq!(site, parse("{}").expect("an empty object is valid"), "{text}");
+        let absent = parse("{}").expect("an empty object is valid");
+        assert_eq!((site.settings, site.names), (absent.settings, absent.names), "{text}");
     }
 }
 
@@ -61,3 +62,27 @@
     assert_eq!(duration_from_ms(f64::INFINITY), Duration::MAX);
     assert_eq!(duration_from_ms(1e300), Duration::MAX);
 }
+
+/// A misspelt value must not change the behaviour without a word.
+#[test]
+fn an_unknown_value_of_an_enumerated_key_is_told_with_what_is_used_instead() {
+    for (text, expected) in [
+        (
+            r#"{"discovery": "pushed"}"#,
+            r#"discovery is "pushed", which is unknown; "automatic" is used instead"#,
+        ),
+        (r#"{"worth_by": "bytes"}"#, r#"worth_by is "bytes", which is unknown; "request" is used instead"#),
+        (r#"{"weight_kind": "exact"}"#, r#"weight_kind is "exact", which is unknown; "off" is used instead"#),
+        (
+            r#"{"telemetry": {"how": "always"}}"#,
+            r#"telemetry.how is "always", which is unknown; "off" is used instead"#,
+        ),
+    ] {
+        let warnings = parse(text).expect("the object is valid").warnings;
+
+        assert_eq!(warnings.iter().map(ToString::to_string).collect::<Vec<_>>(), [expected]);
+    }
+    let known = r#"{"discovery": "subscribe", "worth_by": "work", "weight_kind": "off", "telemetry": {"how": "on_probe"}}"#;
+    assert_eq!(parse(known).expect("the object is valid").warnings, []);
+    assert_eq!(parse("{}").expect("an empty object is valid").warnings, []);
+}
