Count slow start on the monotonic clock, from the list that tells a new start

What callers saw: after a step of the wall clock back, every upstream that started got its full load at once from all balancers, which breaks the rule on slow start; after a step ahead an upstream got a fifth of its share as long as it lived.

Cause: driver/clock.rs turned boot_ms into monotonic time by a distance fixed when the process started, cut to the present; slow_start.rs took what was recent and later than before for a new start. A step back made each start old, a step ahead made each list tell a new one.

Change: the network code passes on boot_ms as the mark of an incarnation and its age by the wall clock; core/upstreams/process_start.rs decides. A mark that differs in a later list is a new start, counted from that list; one told again is not. Only the cached and the first list go by the wall clock, as a new process has nothing else. Upstreams whose state was dropped are remembered by mark, so that one that comes back unchanged is not taken for new.

Why this works: no difference of two wall clock readings is used once a list has come, so no step can move the start of slow start.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -31,8 +31,24 @@
     pub availability: Availability,
     /// Its weight, to be read as [`Settings::weight_kind`](crate::Settings::weight_kind) says.
     pub weight: f64,
-    /// When its process last started, if that was recently.
-    pub started_at: Option<Duration>,
+    /// When its process last started.
+    pub process_start: ProcessStart,
+}
+
+/// When the process of an upstream last started, as an endpoint list says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessStart {
+    /// Long ago, or at a time that is not stated.
+    LongAgo,
+    /// At this time on the embedder's clock.
+    At(Duration),
+    /// At a time on a wall clock, which may be stepped.
+    ByWallClock {
+        /// Tells one start of an upstream from another; equal for the same one.
+        incarnation: u64,
+        /// How long ago it was by the wall clock of this machine; zero if it lies ahead.
+        age: Duration,
+    },
 }
 
 /// How complete an update of the endpoint list is.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,7 +30,7 @@
 //!     cell: CellId(0),
 //!     availability: Availability::Ready,
 //!     weight: 1.0,
-//!     started_at: None,
+//!     process_start: ProcessStart::LongAgo,
 //! }];
 //! let known = Event::EndpointUpdate { scope: UpdateScope::Cached, entries: &entries };
 //! balancer.handle(ms(0), known, &mut actions);
@@ -88,7 +88,7 @@
 
 pub use action::{Action, RejectionReason};
 pub use balancer::Balancer;
-pub use event::{Availability, EndpointEntry, Event, Outcome, UpdateScope};
+pub use event::{Availability, EndpointEntry, Event, Outcome, ProcessStart, UpdateScope};
 pub use ids::*;
 pub use settings::{
     AllowedRange, DeduplicationScope, LoadField, LoadReporting, OutOfRange, Prices, RequestClass,
--- a/crates/core/src/upstreams/mod.rs
+++ b/crates/core/src/upstreams/mod.rs
@@ -2,6 +2,7 @@
 
 mod load_reports;
 mod outlier_detection;
+mod process_start;
 mod set;
 mod slow_start;
 mod subset;
--- a/crates/core/src/upstreams/set.rs
+++ b/crates/core/src/upstreams/set.rs
@@ -7,6 +7,7 @@
 use crate::time::Timestamp;
 use crate::upstreams::load_reports::share_of_other_balancers;
 use crate::upstreams::outlier_detection::ProbeSchedule;
+use crate::upstreams::process_start::{DepartedStarts, KnownStart, ListPosition};
 use crate::upstreams::slow_start::SlowStart;
 use crate::upstreams::subset::min_subset_size;
 use crate::upstreams::{AttemptResult, Upstream};
@@ -31,6 +32,9 @@
     pub(super) next_selection_at: Timestamp,
     /// By class.
     pub(super) probe_schedules: Vec<ProbeSchedule>,
+    departed_starts: DepartedStarts,
+    /// A list has come from discovery.
+    has_list_from_discovery: bool,
 }
 
 impl UpstreamSet {
@@ -45,7 +49,7 @@
 
     /// Number of entries of state.
     pub(crate) fn entries(&self) -> usize {
-        self.upstreams.len() + self.positions.len()
+        self.upstreams.len() + self.positions.len() + self.departed_starts.len()
     }
 
     /// Number of upstreams in the set.
@@ -141,37 +145,47 @@
                 upstream.availability = Availability::Removed;
             }
         }
+        let list_position = self.advance_list_position(scope);
         let is_first_list = self.upstreams.is_empty();
         let count_before = self.upstreams.len();
         let mut needs_selection = is_whole_list;
         for entry in entries {
-            let position = self.position_or_insert(now, entry, is_first_list, random);
-            needs_selection |= self.upstreams[position].apply_entry(now, entry, settings, random);
+            let position = self.position_or_insert(now, entry, list_position, is_first_list, random);
+            needs_selection |=
+                self.upstreams[position].apply_entry(now, entry, list_position, settings, random);
         }
         let has_grown = self.upstreams.len() > count_before;
         let has_dropped = self.drop_gone_upstreams(has_grown);
         needs_selection || has_dropped
     }
 
+    /// The position of a list among those of this balancer.
+    fn advance_list_position(&mut self, scope: UpdateScope) -> ListPosition {
+        let had_list_from_discovery = self.has_list_from_discovery;
+        self.has_list_from_discovery |= scope != UpdateScope::Cached;
+        let follows = had_list_from_discovery && scope != UpdateScope::Cached;
+        if follows { ListPosition::Following } else { ListPosition::Initial }
+    }
+
     /// The position of a listed upstream, which is added if it is new.
     fn position_or_insert(
         &mut self,
         now: Timestamp,
         entry: &EndpointEntry,
+        list_position: ListPosition,
         is_first_list: bool,
         random: &mut Random,
     ) -> usize {
         if let Some(&position) = self.positions.get(&entry.id) {
             return position;
         }
-        let mut started_at = entry.started_at.map(Timestamp::from_duration);
-        if started_at.is_none() && !is_first_list {
-            // An upstream that appears after the first list without a start time is assumed to have just
-            // started.
-            started_at = Some(now);
+        let (known_start, mut started_at) =
+            KnownStart::first(now, entry.process_start, list_position, is_first_list);
+        if let Some(departed) = self.departed_starts.take_same(entry.id, entry.process_start) {
+            started_at = departed.slow_start_began_at;
         }
         let slow_start = SlowStart::new(started_at, random.fraction());
-        let mut upstream = Upstream::new(entry.id, slow_start, self.probe_schedules.len());
+        let mut upstream = Upstream::new(entry.id, known_start, slow_start, self.probe_schedules.len());
         upstream.awaits_selection = !is_first_list;
         let position = self.upstreams.len();
         self.upstreams.push(upstream);
@@ -187,7 +201,14 @@
         if !has_grown && gone_count <= self.upstreams.len() / MAX_GONE_DIVISOR {
             return false;
         }
-        self.upstreams.retain(|upstream| !upstream.is_gone());
+        let departed_starts = &mut self.departed_starts;
+        self.upstreams.retain(|upstream| {
+            if upstream.is_gone() {
+                let began_at = upstream.slow_start.started_at();
+                departed_starts.remember(upstream.id, upstream.known_start, began_at);
+            }
+            !upstream.is_gone()
+        });
         let ids = self.upstreams.iter().map(|upstream| upstream.id);
         self.positions = ids.enumerate().map(|(position, id)| (id, position)).collect();
         true
@@ -200,6 +221,7 @@
         &mut self,
         now: Timestamp,
         entry: &EndpointEntry,
+        list_position: ListPosition,
         settings: &Settings,
         random: &mut Random,
     ) -> bool {
@@ -208,9 +230,9 @@
         self.cell = entry.cell;
         self.availability = entry.availability;
         self.apply_weight(now, entry.weight, settings);
-        let started_at = entry.started_at.map(Timestamp::from_duration);
+        let began_at = self.slow_start.started_at();
         let restarted_at =
-            started_at.filter(|started_at| self.slow_start.is_new_start(*started_at, now, settings));
+            self.known_start.observe(now, entry.process_start, list_position, began_at, settings);
         if let Some(restarted_at) = restarted_at {
             self.outlier.reset();
             self.slow_start.restart(restarted_at, random.fraction());
--- a/crates/core/src/upstreams/slow_start.rs
+++ b/crates/core/src/upstreams/slow_start.rs
@@ -40,18 +40,16 @@
         self.budget = budget;
     }
 
+    /// When it began; `None` once the upstream has warmed up.
+    pub(crate) fn started_at(&self) -> Option<Timestamp> {
+        self.started_at
+    }
+
     /// Whether the upstream counts as warming up. Updated only while it is in the subset.
     pub(crate) fn is_active(&self) -> bool {
         self.started_at.is_some()
     }
 
-    /// Whether a reported start is recent and later than the start in effect. The latter may be the end of an
-    /// ejection, so that a restart during an ejection is not recognized.
-    pub(crate) fn is_new_start(&self, started_at: Timestamp, now: Timestamp, settings: &Settings) -> bool {
-        let is_recent = now - started_at < settings.slow_start_duration.as_secs_f64();
-        is_recent && self.started_at.is_none_or(|known| started_at > known)
-    }
-
     /// Adapts the capacity to a reported utilization. The stated capacity is the least that the upstream has,
     /// so it may be used as much as the others are.
     pub(crate) fn follow_utilization(
--- a/crates/core/src/upstreams/upstream.rs
+++ b/crates/core/src/upstreams/upstream.rs
@@ -5,6 +5,7 @@
 use crate::time::Timestamp;
 use crate::upstreams::load_reports::ReportedLoad;
 use crate::upstreams::outlier_detection::OutlierState;
+use crate::upstreams::process_start::KnownStart;
 use crate::upstreams::slow_start::SlowStart;
 use crate::upstreams::weights::{RelativeLatency, Rotation};
 
@@ -29,6 +30,7 @@
     /// When an attempt was last sent to it or ended.
     pub(crate) last_used_at: Timestamp,
     pub(crate) reported_load: ReportedLoad,
+    pub(crate) known_start: KnownStart,
     pub(crate) slow_start: SlowStart,
     pub(crate) relative_latency: RelativeLatency,
     pub(crate) outlier: OutlierState,
@@ -41,7 +43,12 @@
 
 impl Upstream {
     /// An upstream of which only the id and the start are known.
-    pub(crate) fn new(id: UpstreamId, slow_start: SlowStart, class_count: usize) -> Self {
+    pub(crate) fn new(
+        id: UpstreamId,
+        known_start: KnownStart,
+        slow_start: SlowStart,
+        class_count: usize,
+    ) -> Self {
         Self {
             id,
             zone: ZoneId::default(),
@@ -53,6 +60,7 @@
             abandoned_attempts: 0.0,
             last_used_at: Timestamp::ZERO,
             reported_load: ReportedLoad::default(),
+            known_start,
             slow_start,
             relative_latency: RelativeLatency::default(),
             outlier: OutlierState::new(class_count),
--- a/crates/core/tests/common/builders.rs
+++ b/crates/core/tests/common/builders.rs
@@ -48,7 +48,7 @@
             cell: CellId(0),
             availability: Availability::Ready,
             weight: 1.0,
-            started_at: None,
+            process_start: ProcessStart::LongAgo,
         };
         Self { entry }
     }
@@ -74,7 +74,13 @@
 
     /// Sets when the process of the endpoint started: slow start begins there.
     pub fn started_at(mut self, started_at: impl Into<Option<Duration>>) -> Self {
-        self.entry.started_at = started_at.into();
+        self.entry.process_start = started_at.into().map_or(ProcessStart::LongAgo, ProcessStart::At);
+        self
+    }
+
+    /// Sets the start of the process by the wall clock, and how long ago it was by that clock.
+    pub fn started_by_wall_clock(mut self, incarnation: u64, age: Duration) -> Self {
+        self.entry.process_start = ProcessStart::ByWallClock { incarnation, age };
         self
     }
 
--- a/crates/core/tests/golden/world.rs
+++ b/crates/core/tests/golden/world.rs
@@ -127,7 +127,7 @@
             cell,
             availability,
             weight,
-            started_at: started,
+            process_start: started.map_or(ProcessStart::LongAgo, ProcessStart::At),
         };
         self.upstreams.insert(id, SimulatedUpstream { entry, condition: Condition::Healthy });
         id
@@ -383,7 +383,7 @@
         let Some(id) = self.any_upstream() else { return };
         let now = self.now;
         if let Some(upstream) = self.upstreams.get_mut(&id) {
-            upstream.entry.started_at = Some(now);
+            upstream.entry.process_start = ProcessStart::At(now);
             upstream.entry.availability = Availability::Ready;
             upstream.condition = Condition::Healthy;
         }
--- a/crates/core/tests/slow_start/main.rs
+++ b/crates/core/tests/slow_start/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod idle_new_upstream;
 mod utilization;
+mod wall_clock;
 mod windows;
 
 use balancer_core::*;
--- a/crates/proxy/src/driver/clock.rs
+++ b/crates/proxy/src/driver/clock.rs
@@ -1,41 +1,51 @@
-//! The clock that the balancer's events are stamped with.
+//! The clock that the balancer's events are stamped with, and how old the starts of upstreams are by the wall
+//! clock.
 
 #[cfg(test)]
 mod tests;
 
+use balancer_core::ProcessStart;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
-/// Reading of the clock when this process starts. It is not zero, so that upstreams that started before this
-/// process have a time on the clock too.
+/// Reading of the clock when this process starts. The balancer takes zero for "never".
 const TIME_AT_START: Duration = Duration::from_secs(3600);
 
-/// A monotonic clock that begins one hour before this process started.
+/// A monotonic clock.
 pub(super) struct Clock {
     started_at: Instant,
-    /// Unix time of the start.
-    started_at_unix: Duration,
 }
 
 impl Clock {
     /// Starts the clock.
     pub(super) fn start() -> Self {
-        let started_at_unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { started_at: Instant::now(), started_at_unix }
+        Self { started_at: Instant::now() }
     }
 
     /// The present time on this clock.
     pub(super) fn now(&self) -> Duration {
         TIME_AT_START + self.started_at.elapsed()
     }
+}
+
+/// One reading of the wall clock, which may be stepped between two of them.
+#[derive(Clone, Copy)]
+pub(super) struct WallClockReading {
+    unix_time: Duration,
+}
+
+impl WallClockReading {
+    /// Reads the clock.
+    pub(super) fn now() -> Self {
+        Self { unix_time: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default() }
+    }
 
-    /// Converts a Unix time to this clock; `None` if it is an hour or more before the start of this process.
-    /// A time in the future, which the wall clocks of two machines can produce, counts as the present one.
-    pub(super) fn at_unix_ms(&self, unix_ms: u64) -> Option<Duration> {
-        let time = (Duration::from_millis(unix_ms) + TIME_AT_START).checked_sub(self.started_at_unix)?;
-        if time.is_zero() {
-            return None;
+    /// The start of an upstream's process that discovery states in Unix time; 0 stands for long ago.
+    pub(super) fn process_start(self, started_at_unix_ms: u64) -> ProcessStart {
+        if started_at_unix_ms == 0 {
+            return ProcessStart::LongAgo;
         }
-        Some(time.min(self.now()))
+        let age = self.unix_time.saturating_sub(Duration::from_millis(started_at_unix_ms));
+        ProcessStart::ByWallClock { incarnation: started_at_unix_ms, age }
     }
 }
--- a/crates/proxy/src/driver/clock/tests.rs
+++ b/crates/proxy/src/driver/clock/tests.rs
@@ -1,35 +1,40 @@
 use super::*;
 
-const ONE_SECOND: Duration = Duration::from_secs(1);
-/// Unix times are whole milliseconds, the start of the clock is not.
-const ROUNDING: Duration = Duration::from_millis(1);
+const STARTED_AT_UNIX_MS: u64 = 1_700_000_000_000;
 
-/// Unix time of the start of a clock, in milliseconds.
-fn start_unix_ms(clock: &Clock) -> u64 {
-    clock.started_at_unix.as_millis() as u64
+fn start_read_at(unix_ms: u64) -> ProcessStart {
+    let reading = WallClockReading { unix_time: Duration::from_millis(unix_ms) };
+    reading.process_start(STARTED_AT_UNIX_MS)
 }
 
-#[tokio::test(start_paused = true)]
-async fn times_before_the_start_are_on_the_clock() {
-    let clock = Clock::start();
-    let time = clock.at_unix_ms(start_unix_ms(&clock) - 1000).unwrap();
-    assert!(time <= TIME_AT_START - ONE_SECOND && time > TIME_AT_START - ONE_SECOND - ROUNDING, "{time:?}");
+fn start_of_age(age_ms: u64) -> ProcessStart {
+    ProcessStart::ByWallClock { incarnation: STARTED_AT_UNIX_MS, age: Duration::from_millis(age_ms) }
 }
 
 #[tokio::test(start_paused = true)]
-async fn times_an_hour_before_the_start_are_not_on_the_clock() {
+async fn the_clock_follows_monotonic_time() {
     let clock = Clock::start();
-    let hour_before = start_unix_ms(&clock) - TIME_AT_START.as_millis() as u64;
-    assert_eq!(clock.at_unix_ms(hour_before), None);
-    assert_eq!(clock.at_unix_ms(0), None);
-    assert!(clock.at_unix_ms(hour_before + 1).is_some());
+    let before = clock.now();
+
+    tokio::time::advance(Duration::from_secs(1)).await;
+
+    assert_eq!(clock.now() - before, Duration::from_secs(1));
 }
 
-#[tokio::test(start_paused = true)]
-async fn times_in_the_future_count_as_the_present() {
-    let clock = Clock::start();
-    let future = start_unix_ms(&clock) + 60_000;
-    assert_eq!(clock.at_unix_ms(future), Some(TIME_AT_START));
-    tokio::time::advance(ONE_SECOND).await;
-    assert_eq!(clock.at_unix_ms(future), Some(TIME_AT_START + ONE_SECOND));
+#[test]
+fn a_start_is_told_apart_by_its_time_and_has_an_age_by_the_wall_clock() {
+    assert_eq!(start_read_at(STARTED_AT_UNIX_MS + 2500), start_of_age(2500));
+    assert_eq!(start_read_at(STARTED_AT_UNIX_MS + 3_700_000), start_of_age(3_700_000));
+}
+
+/// The clock may have been stepped back since the start.
+#[test]
+fn a_start_that_lies_ahead_is_of_no_age() {
+    assert_eq!(start_read_at(STARTED_AT_UNIX_MS - 1), start_of_age(0));
+    assert_eq!(start_read_at(0), start_of_age(0));
+}
+
+#[test]
+fn zero_stands_for_long_ago() {
+    assert_eq!(WallClockReading::now().process_start(0), ProcessStart::LongAgo);
 }
--- a/crates/proxy/src/driver/events.rs
+++ b/crates/proxy/src/driver/events.rs
@@ -1,6 +1,7 @@
 //! How each event is handled: what the driver does about it, and what the balancer is told.
 
 use crate::discovery::endpoint_list::WatchEvent;
+use crate::driver::clock::WallClockReading;
 use crate::driver::event_queue::DriverEvent;
 use crate::driver::in_flight::ResponseSender;
 use crate::driver::request::FinalResponse;
@@ -49,6 +50,7 @@
             let listed: FxHashSet<UpstreamId> = update.entries.iter().map(|endpoint| endpoint.id).collect();
             self.upstreams.retain_listed(|id| listed.contains(&id));
         }
+        let wall_clock = WallClockReading::now();
         let mut entries = Vec::with_capacity(update.entries.len());
         for endpoint in &update.entries {
             self.upstreams.apply_entry(endpoint.id, &endpoint.state);
@@ -59,7 +61,7 @@
                 cell: endpoint.cell,
                 availability: endpoint.state.availability,
                 weight: endpoint.weight,
-                started_at: self.clock.at_unix_ms(endpoint.state.started_at_unix_ms),
+                process_start: wall_clock.process_start(endpoint.state.started_at_unix_ms),
             });
         }
         entries
--- a/crates/simulator-adapter/src/decode.rs
+++ b/crates/simulator-adapter/src/decode.rs
@@ -6,11 +6,10 @@
 use crate::reader::FieldReader;
 use crate::record::{BalancerEvent, Batch, Record, RecordBody, UpstreamResult};
 use balancer_core::{
-    AttemptIndex, Availability, CellId, ClassId, EndpointEntry, HardwareId, Outcome, RequestId, TenantId,
-    TimerId, UpdateScope, ZoneId,
+    AttemptIndex, Availability, CellId, ClassId, EndpointEntry, HardwareId, Outcome, ProcessStart, RequestId,
+    TenantId, TimerId, UpdateScope, ZoneId,
 };
 use balancer_settings::duration_from_ms;
-use std::time::Duration;
 
 #[cfg(test)]
 mod tests;
@@ -81,7 +80,7 @@
         cell: CellId(reader.u16("cell")?),
         availability: read_availability(reader)?,
         weight: f64::from(reader.f32("weight")?),
-        started_at: read_started_at(reader)?,
+        process_start: read_process_start(reader)?,
     })
 }
 
@@ -90,10 +89,11 @@
     codes::availability_from_code(reader.u8("availability")?).map_err(|problem| problem.at(offset))
 }
 
-/// Reads a start time, where zero stands for an unknown one.
-fn read_started_at(reader: &mut FieldReader<'_>) -> Result<Option<Duration>, WireError> {
+/// Reads a start time on the clock of the batches, where zero stands for an unknown one.
+fn read_process_start(reader: &mut FieldReader<'_>) -> Result<ProcessStart, WireError> {
     let ms = reader.f64("start time")?;
-    Ok((ms > 0.0).then(|| duration_from_ms(ms)))
+    let is_known = ms > 0.0;
+    Ok(if is_known { ProcessStart::At(duration_from_ms(ms)) } else { ProcessStart::LongAgo })
 }
 
 fn decode_start(reader: &mut FieldReader<'_>) -> Result<RecordBody, WireError> {
--- a/crates/simulator-adapter/src/decode/tests.rs
+++ b/crates/simulator-adapter/src/decode/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use balancer_core::UpstreamId;
+use std::time::Duration;
 
 const INSTANCE: u32 = 3;
 const FIRST_RECORD: usize = 12;
@@ -91,7 +92,7 @@
         cell: CellId(0),
         availability: Availability::Ready,
         weight: 1.0,
-        started_at: None,
+        process_start: ProcessStart::LongAgo,
     };
     let second = EndpointEntry {
         id: UpstreamId(0x0a90_11f2_2bec),
@@ -100,7 +101,7 @@
         cell: CellId(3),
         availability: Availability::Draining,
         weight: 1.5,
-        started_at: Some(Duration::from_millis(6100)),
+        process_start: ProcessStart::At(Duration::from_millis(6100)),
     };
     assert_eq!(bodies, [RecordBody::EndpointList { number: 0, entries: vec![first, second] }]);
 }
