Recognize a restart during an ejection where starts are on the embedder's clock

Cause: a told start had to be later than the one in effect, and an ejection sets that to its own end, which lies ahead.

Change: the latest told start is kept by itself and compared with the next.

Evidence: a_restart_during_an_ejection_is_recognized with a start on the embedder's clock failed before ("the ejection has ended") and passes now.

--- a/crates/core/src/upstreams/process_start.rs
+++ b/crates/core/src/upstreams/process_start.rs
@@ -26,6 +26,8 @@
 /// The latest start that was told of an upstream.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct KnownStart {
+    /// On the embedder's clock.
+    at: Option<Timestamp>,
     /// By a wall clock.
     incarnation: Option<u64>,
 }
@@ -46,32 +48,30 @@
             ProcessStart::At(time) => Some(Timestamp::from_duration(time)),
             ProcessStart::ByWallClock { incarnation, age } => {
                 known.incarnation = Some(incarnation);
-                Some(wall_clock_start(now, age.as_secs_f64(), position))
+                return (known, Some(wall_clock_start(now, age.as_secs_f64(), position)));
             }
         };
+        known.at = started_at;
         (known, started_at)
     }
 
-    /// Takes in the start that an entry tells of a known upstream, whose slow start began at
-    /// `slow_start_began_at`. Returns when slow start begins anew if it is a new and recent one.
-    ///
-    /// A start on the embedder's clock has to be later than the one in effect. That may be the end of an
-    /// ejection, so that such a start during an ejection is not recognized.
+    /// Takes in the start that an entry tells of a known upstream. Returns when slow start begins anew if it
+    /// is a new and recent one.
     pub(crate) fn observe(
         &mut self,
         now: Timestamp,
         told: ProcessStart,
         position: ListPosition,
-        slow_start_began_at: Option<Timestamp>,
         settings: &Settings,
     ) -> Option<Timestamp> {
         let started_at = match told {
             ProcessStart::LongAgo => return None,
             ProcessStart::At(time) => {
                 let time = Timestamp::from_duration(time);
-                if slow_start_began_at.is_some_and(|known| time <= known) {
+                if self.at.is_some_and(|known| time <= known) {
                     return None;
                 }
+                self.at = Some(time);
                 time
             }
             ProcessStart::ByWallClock { incarnation, age } => {
--- a/crates/core/src/upstreams/set.rs
+++ b/crates/core/src/upstreams/set.rs
@@ -230,9 +230,7 @@
         self.cell = entry.cell;
         self.availability = entry.availability;
         self.apply_weight(now, entry.weight, settings);
-        let began_at = self.slow_start.started_at();
-        let restarted_at =
-            self.known_start.observe(now, entry.process_start, list_position, began_at, settings);
+        let restarted_at = self.known_start.observe(now, entry.process_start, list_position, settings);
         if let Some(restarted_at) = restarted_at {
             self.outlier.reset();
             self.slow_start.restart(restarted_at, random.fraction());
--- a/crates/core/tests/slow_start/wall_clock.rs
+++ b/crates/core/tests/slow_start/wall_clock.rs
@@ -180,6 +180,13 @@
 /// The end of an ejection begins slow start, too; a restart meanwhile still counts, and ends the ejection.
 #[test]
 fn a_restart_during_an_ejection_is_recognized() {
+    let by_wall_clock = |_| started(1, AFTER, Duration::ZERO);
+    let by_own_clock = |now| EndpointBuilder::new(1).started_at(now).build();
+    assert_restart_during_an_ejection_is_recognized(by_wall_clock);
+    assert_restart_during_an_ejection_is_recognized(by_own_clock);
+}
+
+fn assert_restart_during_an_ejection_is_recognized(restarted: impl Fn(Duration) -> EndpointEntry) {
     let mut harness = following_balancer();
     let fails = |upstream| Some(if upstream == RESTARTED { Outcome::ConnectFailed } else { Outcome::Ok });
     harness.play_requests(100, REQUEST_INTERVAL, fails);
@@ -187,7 +194,8 @@
     harness.play_requests(20, REQUEST_INTERVAL, fails);
     assert_eq!(harness.attempts_sent_to(RESTARTED), sent_while_ejected, "it is ejected");
 
-    harness.update_endpoints(UpdateScope::Delta, &[started(1, AFTER, Duration::ZERO)]);
+    let entry = restarted(harness.now);
+    harness.update_endpoints(UpdateScope::Delta, &[entry]);
 
     play(&mut harness, Duration::from_secs(1));
     assert!(harness.attempts_sent_to(RESTARTED) > sent_while_ejected, "the ejection has ended");
