Do not count a connect that the wait for a slot cut short against its upstream

What callers saw (found by reading): under load, attempts that wait for a slot have only the rest of the connect timeout to connect; when that ran out, it counted as a failed connect, and two of these eject a healthy upstream.

Cause: check_out took every connect that did not come up for the upstream's failure, unless the request's own deadline had cut it.

Why this works: a connect with less than 0.8 of the timeout ends as NotSent, as a lack of slots does.

Evidence: the test added here (a listener with a full backlog, the only slot held for half of the timeout) had ConnectFailed before, NotSent now; the same connect with all of its time is still ConnectFailed.

--- a/crates/proxy/src/upstream/checkout.rs
+++ b/crates/proxy/src/upstream/checkout.rs
@@ -10,6 +10,10 @@
 #[cfg(test)]
 mod tests;
 
+/// The share of the connect timeout that a connect must have had to count against its upstream. The rest of the
+/// timeout has gone to the wait for a slot.
+const MIN_CONNECT_SHARE: f64 = 0.8;
+
 /// A connection in use by one attempt.
 pub struct CheckedOut {
     /// The connection.
@@ -44,6 +48,8 @@
             }
         };
         let Some(address) = upstream.address.get() else { return Err(Outcome::NotSent) };
+        let min_connect_time = self.connect_timeout.mul_f64(MIN_CONNECT_SHARE);
+        let connect_time = connect_deadline.saturating_duration_since(Instant::now());
         match timeout_at(connect_deadline, Connection::open(address, slot)).await {
             Ok(Ok(connection)) => Ok(CheckedOut { connection, reused: false, started_at_unix_ms }),
             Ok(Err(error)) if is_local_shortage(&error) => Err(Outcome::NotSent),
@@ -51,7 +57,9 @@
                 tracing::debug!(%address, %error, "connect failed");
                 Err(Outcome::ConnectFailed)
             }
-            Err(_) if connect_deadline == deadline => Err(Outcome::NotSent),
+            Err(_) if connect_deadline == deadline || connect_time < min_connect_time => {
+                Err(Outcome::NotSent)
+            }
             Err(_) => Err(Outcome::ConnectFailed),
         }
     }
--- a/crates/proxy/src/upstream/checkout/tests.rs
+++ b/crates/proxy/src/upstream/checkout/tests.rs
@@ -1,10 +1,14 @@
 use super::*;
+use crate::upstream::EndpointState;
 use crate::upstream::test_support::{
     EMPTY_RESPONSE, Fixture, LONG_TIMEOUT, OTHER_UPSTREAM, UPSTREAM, read_request, respond,
 };
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::yield_now;
+use tokio::time::{sleep, timeout};
 
 /// Repetitions of tests that look for a race between this process and the kernel.
 const RACE_REPETITIONS: usize = 20;
@@ -158,3 +162,45 @@
     let result = fixture.attempt_within(UPSTREAM, Duration::from_millis(50)).await;
     assert_eq!(result.outcome, Outcome::NotSent, "a lack of slots says nothing about the upstream");
 }
+
+/// An upstream that accepts no more connections: connects to it neither succeed nor fail.
+struct UnresponsiveListener {
+    address: SocketAddr,
+    _listener: TcpListener,
+    _backlog: Vec<TcpStream>,
+}
+
+impl UnresponsiveListener {
+    async fn start() -> Self {
+        const CONNECT_HANGS: Duration = Duration::from_millis(100);
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(1).unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut backlog = Vec::new();
+        while let Ok(connected) = timeout(CONNECT_HANGS, TcpStream::connect(address)).await {
+            backlog.push(connected.unwrap());
+        }
+        Self { address, _listener: listener, _backlog: backlog }
+    }
+}
+
+/// Upstreams that are merely crowded on this side would be ejected under load.
+#[tokio::test(flavor = "local")]
+async fn a_connect_that_was_cut_short_by_the_wait_for_a_slot_says_nothing_about_the_upstream() {
+    const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+    let unresponsive = UnresponsiveListener::start().await;
+    let fixture = Fixture::with_connect_timeout(1, CONNECT_TIMEOUT).await;
+    let state = EndpointState { address: Some(unresponsive.address), ..fixture.state.clone() };
+    fixture.upstreams.apply_entry(OTHER_UPSTREAM, &state);
+    let in_flight = fixture.spawn_attempt(UPSTREAM);
+    let mut stream = fixture.accept_request().await;
+    let cut_short = fixture.spawn_attempt(OTHER_UPSTREAM);
+    sleep(CONNECT_TIMEOUT / 2).await;
+    respond(&mut stream, EMPTY_RESPONSE).await;
+
+    assert_eq!(in_flight.await.unwrap().outcome, Outcome::Ok);
+    assert_eq!(cut_short.await.unwrap().outcome, Outcome::NotSent);
+    // The same connect with all of its time is a failure of the upstream.
+    assert_eq!(fixture.attempt(OTHER_UPSTREAM).await.outcome, Outcome::ConnectFailed);
+}
