End an attempt as cancelled, not as the upstream's error, when body memory runs out

What callers saw (found by reading): while large responses use up their part of the memory, each further one counted as an error of its upstream; two in a row eject a healthy upstream for the class.

Cause: ExchangeError::outcome classed BodyBudgetExhausted, a shortage of this process, with malformed responses.

Why this works: Cancelled says what happened. The request may have been executed, so retries stay as safe as before, and outlier detection takes nothing from it unless the attempt was overdue.

--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -61,10 +61,11 @@
             Self::ConnectionLost(_) if request_complete => Outcome::Reset,
             Self::ConnectionLost(_) => Outcome::ConnectFailed,
             // The upstream is alive and has read the request, or part of it. It may have executed it.
-            Self::MalformedResponse(_)
-            | Self::ConflictingLengths
-            | Self::BodyTooLong { .. }
-            | Self::BodyBudgetExhausted { .. } => Outcome::Error,
+            Self::MalformedResponse(_) | Self::ConflictingLengths | Self::BodyTooLong { .. } => {
+                Outcome::Error
+            }
+            // The upstream has responded as it should; this process gives the attempt up for lack of memory.
+            Self::BodyBudgetExhausted { .. } => Outcome::Cancelled,
         }
     }
 }
--- a/crates/proxy/src/upstream/exchange/tests.rs
+++ b/crates/proxy/src/upstream/exchange/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::upstream::test_support::{Fixture, LONG_TIMEOUT, UPSTREAM};
+use crate::upstream::test_support::{Fixture, LONG_TIMEOUT, MAX_LENGTH_BODIES_IN_BUDGET, UPSTREAM};
 use tokio::time::{Instant, timeout_at};
 
 /// Has the upstream send `response` on a new connection that it leaves open, and returns the attempt's
@@ -49,3 +49,24 @@
         assert_eq!(result.outcome, Outcome::Reset, "{response:?}");
     }
 }
+
+/// The memory for large bodies is this process's own: its lack must not eject upstreams that respond as they
+/// should.
+#[tokio::test(flavor = "local")]
+async fn a_large_body_that_the_budget_does_not_allow_for_is_no_failure_of_the_upstream() {
+    let fixture = Fixture::with_max_connections(8).await;
+    let everything = MAX_LENGTH_BODIES_IN_BUDGET * MAX_RESPONSE_BODY_BYTES;
+    let reservation = fixture.upstreams.large_body_budget.reserve(everything).expect("an unused budget");
+    let body = "y".repeat(200_000);
+    let stated = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let chunked = format!(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n",
+        body.len()
+    );
+
+    assert_eq!(outcome_of(&fixture, &stated).await, Outcome::Cancelled);
+    assert_eq!(outcome_of(&fixture, &chunked).await, Outcome::Cancelled);
+
+    drop(reservation);
+    assert_eq!(outcome_of(&fixture, &stated).await, Outcome::Ok);
+}
