End the shutdown in time where the longest deadline is under 0.2 s

What callers saw (found by reading): with deadlines under 0.2 s a shutdown takes 0.8 s, up to the kill at the deadline plus 0.7 s, which loses what the process still holds.

Cause: the lame duck phase had a least length of 0.6 s, and 0.2 s are kept for the abort, whatever the deadline.

Why this works: the lame duck phase ends at the latest when the abort has to begin: between 0.4 s, in which new connections may still come, and 0.6 s for these deadlines. Longer ones are unchanged.

--- a/crates/proxy/src/lifecycle.rs
+++ b/crates/proxy/src/lifecycle.rs
@@ -8,10 +8,9 @@
 #[cfg(test)]
 mod tests;
 
-/// Shortest lame duck phase. After SIGTERM the platform goes on assigning new connections to this balancer
-/// for up to
-/// 0.4 s, and clients keep using those that they have. Both need time until a neighbour that may have just started
-/// itself is ready.
+/// Shortest lame duck phase, unless the deadlines are so short that the process has to end before. After
+/// SIGTERM the platform goes on assigning new connections to this balancer for up to 0.4 s, and clients keep
+/// using those that they have. Both need time until a neighbour that may have just started itself is ready.
 const MIN_LAME_DUCK: Duration = Duration::from_millis(600);
 /// Longest lame duck phase.
 const MAX_LAME_DUCK: Duration = Duration::from_millis(1200);
@@ -49,10 +48,12 @@
     /// The budget where the longest deadline of a request class is `longest_deadline`.
     fn new(longest_deadline: Duration) -> Self {
         let longest_deadline = longest_deadline.min(MAX_COUNTED_DEADLINE);
-        let lame_duck =
-            longest_deadline.mul_f64(LAME_DUCK_DEADLINE_FRACTION).clamp(MIN_LAME_DUCK, MAX_LAME_DUCK);
-        let total = longest_deadline + SHUTDOWN_AFTER_DEADLINE;
-        let drain = total.saturating_sub(lame_duck + ABORT_GRACE_PERIOD);
+        let before_abort = longest_deadline + SHUTDOWN_AFTER_DEADLINE - ABORT_GRACE_PERIOD;
+        let lame_duck = longest_deadline
+            .mul_f64(LAME_DUCK_DEADLINE_FRACTION)
+            .clamp(MIN_LAME_DUCK, MAX_LAME_DUCK)
+            .min(before_abort);
+        let drain = before_abort - lame_duck;
         Self { lame_duck, drain }
     }
 }
