Reject what was never sent, in place of failing it, when a shutdown aborts attempts

What callers saw (found by reading): when the drain runs out, a request that waited for a connection got 502, as if it might have been executed, in place of 503, after which trying again is harmless.

Cause: run_attempt ended every attempt as TimedOut without knowing what had been written.

Change: the abort reaches the attempt beside its abandonment, as one Interruption; it ends as at its deadline, TimedOut where the kernel has the whole request, NotSent otherwise.

--- a/crates/proxy/src/driver/actions.rs
+++ b/crates/proxy/src/driver/actions.rs
@@ -5,11 +5,10 @@
 use crate::driver::in_flight::Attempt;
 use crate::driver::request::FinalResponse;
 use crate::driver::{Core, Driver};
-use crate::upstream::{AttemptResult, OutgoingRequest};
+use crate::upstream::Interruption;
 use balancer_core::{Action, AttemptIndex, Outcome, RequestId, TimerId, UpstreamId};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
@@ -43,8 +42,7 @@
     ) {
         let Some(request) = core.requests.get_mut(id) else { return };
         let Some(response_sender) = &request.response_sender else { return };
-        let abandonment = response_sender.abandonment();
-        let abort_all = self.abort_all.subscribe();
+        let mut interruption = Interruption::new(response_sender.abandonment(), self.abort_all.subscribe());
         let sent_at = Instant::now();
         let index = request.next_attempt();
         let incoming = Rc::clone(&request.incoming);
@@ -53,7 +51,7 @@
         let driver = Rc::clone(self);
         let task = spawn_local(async move {
             let outgoing = &incoming.outgoing;
-            let result = driver.run_attempt(upstream, outgoing, deadline, abandonment, abort_all).await;
+            let result = driver.upstreams.attempt(upstream, outgoing, deadline, &mut interruption).await;
             driver.deliver(DriverEvent::AttemptEnded { id, attempt: index, result });
         });
         tracing::debug!(id = id.0, attempt = index.0, upstream = upstream.0, "attempt");
@@ -63,27 +61,6 @@
         request.add_attempt(Attempt { upstream, sent_at, task: task.abort_handle(), is_in_flight: true });
     }
 
-    /// Makes an attempt, which ends early once `abort_all` is `true`. `abandonment` is that of
-    /// [`Upstreams::attempt`](crate::upstream::Upstreams::attempt).
-    async fn run_attempt(
-        &self,
-        upstream: UpstreamId,
-        request: &OutgoingRequest,
-        deadline: Instant,
-        mut abandonment: watch::Receiver<()>,
-        mut abort_all: watch::Receiver<bool>,
-    ) -> AttemptResult {
-        if *abort_all.borrow() {
-            Outcome::NotSent.into()
-        } else {
-            let attempt = self.upstreams.attempt(upstream, request, deadline, &mut abandonment);
-            tokio::select! {
-                result = attempt => result,
-                _ = abort_all.wait_for(|is_set| *is_set) => Outcome::TimedOut.into(),
-            }
-        }
-    }
-
     /// Stops an attempt. Its end is queued behind the events that have already happened.
     fn cancel_attempt(&self, core: &mut Core, id: RequestId, index: AttemptIndex) {
         let Some(request) = core.requests.get_mut(id) else { return };
--- a/crates/proxy/src/driver/tests.rs
+++ b/crates/proxy/src/driver/tests.rs
@@ -219,3 +219,23 @@
     assert!(next.starts_with("POST /third"), "{next:?}");
     assert!(matches!(third.response().await, FinalResponse::Served(_)));
 }
+
+/// At the end of the process, a client is told that its request failed only where it may have been executed.
+#[tokio::test(flavor = "local")]
+async fn a_request_that_was_never_sent_is_rejected_and_not_failed_when_all_attempts_are_aborted() {
+    let upstream = listen().await;
+    let driver = driver_with_one_connection(&upstream);
+    let sent = driver.submit(post_request("/sent"));
+    let (mut stream, _) = upstream.accept().await.unwrap();
+    assert!(read(&mut stream).await.starts_with("POST /sent"));
+    // The only connection is in use.
+    let waiting = driver.submit(post_request("/waiting"));
+    yield_now().await;
+
+    driver.abort_all();
+
+    assert!(matches!(sent.response().await, FinalResponse::Failed));
+    assert!(matches!(waiting.response().await, FinalResponse::Rejected { .. }));
+    let later = driver.submit(post_request("/later"));
+    assert!(matches!(later.response().await, FinalResponse::Rejected { .. }));
+}
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -7,6 +7,7 @@
 use crate::headers::{self, NOT_EXECUTED};
 use crate::upstream::connection::Connection;
 use crate::upstream::exchange::{ExchangeError, exchange};
+use crate::upstream::interruption::{Interruption, InterruptionCause};
 use crate::upstream::request::{OutgoingRequest, RequestProgress};
 use crate::upstream::set::{Upstream, Upstreams};
 use balancer_core::{Outcome, UpstreamId};
@@ -14,7 +15,6 @@
 use http_body_util::Full;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
-use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
 #[cfg(test)]
@@ -50,28 +50,27 @@
 enum ExchangeEnd {
     Completed(Response<Bytes>),
     Failed(ExchangeError),
+    /// The deadline has passed, or the process ends.
     DeadlinePassed,
-    /// Nobody wanted the response any more before the whole request was written.
+    /// Interrupted before the whole request was written.
     Abandoned,
 }
 
 impl Upstreams {
     /// Sends a request to an upstream and waits for the response until `deadline`.
     ///
-    /// The requester holds the sender of `abandonment` and drops it when it no longer wants the response: its
-    /// `changed()` resolves with an error once the sender is dropped; no value is ever sent. If that happens
-    /// before the whole request is written, the attempt ends with [`Outcome::NotSent`]; otherwise the
-    /// response is still waited for.
+    /// If it is interrupted before the whole request is written, it ends with [`Outcome::NotSent`]. Once the
+    /// request is written, an abandoned attempt goes on, and an aborted one ends with [`Outcome::TimedOut`].
     pub async fn attempt(
         &self,
         id: UpstreamId,
         request: &OutgoingRequest,
         deadline: Instant,
-        abandonment: &mut watch::Receiver<()>,
+        interruption: &mut Interruption,
     ) -> AttemptResult {
         let Some(upstream) = self.get(id) else { return Outcome::NotSent.into() };
         loop {
-            let result = self.attempt_on_one_connection(id, &upstream, request, deadline, abandonment).await;
+            let result = self.attempt_on_one_connection(id, &upstream, request, deadline, interruption).await;
             if let Some(result) = result {
                 return result;
             }
@@ -86,11 +85,11 @@
         upstream: &Upstream,
         request: &OutgoingRequest,
         deadline: Instant,
-        abandonment: &mut watch::Receiver<()>,
+        interruption: &mut Interruption,
     ) -> Option<AttemptResult> {
         let checked_out = tokio::select! {
             biased;
-            _ = abandonment.changed() => Err(Outcome::NotSent),
+            _ = interruption.occurred() => Err(Outcome::NotSent),
             checked_out = self.check_out(id, upstream, deadline) => checked_out,
         };
         let mut checked_out = match checked_out {
@@ -110,7 +109,7 @@
         let request = request.to_http(time_left);
         let progress = RequestProgress::new(&checked_out.connection, &request);
         let connection = &mut checked_out.connection;
-        match self.exchange_unless_abandoned(connection, request, &progress, deadline, abandonment).await {
+        match self.exchange_unless_interrupted(connection, request, &progress, deadline, interruption).await {
             ExchangeEnd::Completed(response) => {
                 // If the response came before the whole request was written, the rest of the request would
                 // precede the next one.
@@ -135,26 +134,32 @@
         self.metrics.withheld_attempts.inc();
     }
 
-    /// Sends a request and waits for the response until `deadline`, or until the requester is gone and the
-    /// request not completely written.
-    async fn exchange_unless_abandoned(
+    /// Sends a request and waits for the response until `deadline`, until the requester is gone and the request
+    /// not completely written, or until the process ends.
+    async fn exchange_unless_interrupted(
         &self,
         connection: &mut Connection,
         request: Request<Full<Bytes>>,
         progress: &RequestProgress,
         deadline: Instant,
-        abandonment: &mut watch::Receiver<()>,
+        interruption: &mut Interruption,
     ) -> ExchangeEnd {
         let exchange = timeout_at(deadline, exchange(connection, request, &self.large_body_budget));
         tokio::pin!(exchange);
         let result = tokio::select! {
             biased;
             result = exchange.as_mut() => result,
-            _ = abandonment.changed() => {
+            cause = interruption.occurred() => {
                 if !progress.is_complete() {
                     return ExchangeEnd::Abandoned;
                 }
-                exchange.await
+                if cause == InterruptionCause::Aborted {
+                    return ExchangeEnd::DeadlinePassed;
+                }
+                tokio::select! {
+                    result = exchange => result,
+                    () = interruption.aborted() => return ExchangeEnd::DeadlinePassed,
+                }
             }
         };
         match result {
--- a/crates/proxy/src/upstream/health_check.rs
+++ b/crates/proxy/src/upstream/health_check.rs
@@ -1,6 +1,7 @@
 //! Health checks: a request of the balancer's own, which also fetches the load report if upstreams give one.
 
 use crate::upstream::attempt::AttemptResult;
+use crate::upstream::interruption::Interruption;
 use crate::upstream::request::OutgoingRequest;
 use crate::upstream::set::Upstreams;
 use balancer_core::UpstreamId;
@@ -24,10 +25,12 @@
     /// Checks the health of an upstream, and reads the load report from the body if the headers hold none.
     pub async fn check_health(&self, id: UpstreamId) -> AttemptResult {
         let request = self.health_check_request();
-        // The sender lives until the end of this function: the result is always wanted.
-        let (_abandonment_guard, mut abandonment) = watch::channel(());
+        // The senders live until the end of this function: the result is always wanted.
+        let (_abandonment_guard, abandonment) = watch::channel(());
+        let (_abort_guard, abort) = watch::channel(false);
+        let mut interruption = Interruption::new(abandonment, abort);
         let deadline = Instant::now() + HEALTH_CHECK_TIMEOUT;
-        let mut result = self.attempt(id, &request, deadline, &mut abandonment).await;
+        let mut result = self.attempt(id, &request, deadline, &mut interruption).await;
         if let Some(response) = &result.response
             && self.load_reports.is_enabled()
             && result.load_report.is_empty()
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! Upstreams: the known ones, the connections to them, attempts and health checks.
 
 pub use attempt::{AttemptResult, UpstreamResponse};
+pub use interruption::Interruption;
 pub use request::OutgoingRequest;
 pub use set::{EndpointState, Upstreams};
 
@@ -10,6 +11,7 @@
 mod counting_stream;
 mod exchange;
 mod health_check;
+mod interruption;
 mod load_report;
 mod pool;
 mod request;
--- a/crates/proxy/src/upstream/test_support.rs
+++ b/crates/proxy/src/upstream/test_support.rs
@@ -1,7 +1,7 @@
 //! What the tests of upstreams share: a set with one upstream, played by a listener on loopback.
 
 use crate::upstream::response_body::MAX_RESPONSE_BODY_BYTES;
-use crate::upstream::{AttemptResult, EndpointState, OutgoingRequest, Upstreams};
+use crate::upstream::{AttemptResult, EndpointState, Interruption, OutgoingRequest, Upstreams};
 use balancer_core::{Availability, Settings, UpstreamId};
 use bytes::Bytes;
 use hyper::header::HeaderMap;
@@ -92,10 +92,12 @@
         &self,
         request: OutgoingRequest,
     ) -> (watch::Sender<()>, JoinHandle<AttemptResult>) {
-        let (abandonment_guard, mut abandonment) = watch::channel(());
+        let (abandonment_guard, abandonment) = watch::channel(());
         let upstreams = Rc::clone(&self.upstreams);
         let task = spawn_local(async move {
-            upstreams.attempt(UPSTREAM, &request, Instant::now() + LONG_TIMEOUT, &mut abandonment).await
+            let (_abort_guard, abort) = watch::channel(false);
+            let mut interruption = Interruption::new(abandonment, abort);
+            upstreams.attempt(UPSTREAM, &request, Instant::now() + LONG_TIMEOUT, &mut interruption).await
         });
         (abandonment_guard, task)
     }
@@ -145,6 +147,8 @@
 }
 
 async fn attempt(upstreams: &Upstreams, id: UpstreamId, timeout: Duration) -> AttemptResult {
-    let (_abandonment_guard, mut abandonment) = watch::channel(());
-    upstreams.attempt(id, &post_request(), Instant::now() + timeout, &mut abandonment).await
+    let (_abandonment_guard, abandonment) = watch::channel(());
+    let (_abort_guard, abort) = watch::channel(false);
+    let mut interruption = Interruption::new(abandonment, abort);
+    upstreams.attempt(id, &post_request(), Instant::now() + timeout, &mut interruption).await
 }
