Let the error for an invalid request be written in the drain, as other responses

What callers saw (found by reading): a peer that sent an invalid request and reads slowly got only a part of its 4xx when the process drained, as the connection ended 250 ms later.

Cause: without a valid request a connection stays New, which wait_for_last_response took for a request that is incomplete.

--- a/crates/proxy/src/downstream/client.rs
+++ b/crates/proxy/src/downstream/client.rs
@@ -65,6 +65,8 @@
     last_active_at: Cell<Instant>,
     /// When the request that is being read began.
     request_started_at: Cell<Option<Instant>>,
+    /// Whether the last request has a response that may not have been written yet.
+    has_response: Cell<bool>,
     is_evicted: Cell<bool>,
     eviction: Notify,
 }
@@ -77,6 +79,7 @@
             has_sent_valid_request: Cell::new(false),
             last_active_at: Cell::new(Instant::now()),
             request_started_at: Cell::new(None),
+            has_response: Cell::new(false),
             is_evicted: Cell::new(false),
             eviction: Notify::new(),
         }
@@ -96,6 +99,7 @@
 
     /// Notes that the head of a request has arrived. Returns when the request has to be complete.
     pub fn head_received(&self) -> Instant {
+        self.has_response.set(false);
         let first_byte_at = self.request_started_at.take().unwrap_or_else(Instant::now);
         let previous_state = self.state.replace(ClientState::Reading);
         let started_at =
@@ -113,6 +117,7 @@
     /// Notes that the response is ready to be written. A client that has only sent invalid requests stays
     /// new: its time for the first valid one goes on.
     pub fn response_ready(&self) {
+        self.has_response.set(true);
         self.request_started_at.set(None);
         if self.state.get() == ClientState::AwaitingResponse {
             self.has_sent_valid_request.set(true);
@@ -125,6 +130,11 @@
         }
     }
 
+    /// Whether the last request whose head has arrived has a response. It may not have been written yet.
+    pub fn has_response(&self) -> bool {
+        self.has_response.get()
+    }
+
     /// Waits until the connection is evicted or has timed out.
     pub async fn wait_until_must_close(&self) {
         tokio::select! {
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -137,8 +137,9 @@
         match client.state() {
             ClientState::AwaitingResponse => {}
             // Nothing of an incomplete request was forwarded.
-            ClientState::New | ClientState::Reading => return Ok(()),
-            ClientState::Idle => {
+            ClientState::New | ClientState::Reading if !client.has_response() => return Ok(()),
+            // The client reads slowly; an invalid request leaves its connection new.
+            ClientState::New | ClientState::Reading | ClientState::Idle => {
                 if response_ready_at.get_or_insert_with(Instant::now).elapsed() > RESPONSE_WRITE_TIMEOUT {
                     return Ok(());
                 }
