Settle by a test that is_usable never waits for a peer

It can't: hyper ends a connection whose exchange was given up (ready() fails at once, also while the peer stays silent), and only connections with a complete exchange are checked in. The test shows both; no code is changed.

--- a/crates/proxy/src/upstream/checkout/tests.rs
+++ b/crates/proxy/src/upstream/checkout/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::upstream::EndpointState;
 use crate::upstream::test_support::{
-    EMPTY_RESPONSE, Fixture, LONG_TIMEOUT, OTHER_UPSTREAM, UPSTREAM, read_request, respond,
+    EMPTY_RESPONSE, Fixture, LONG_TIMEOUT, OTHER_UPSTREAM, UPSTREAM, post_request, read_request, respond,
 };
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -204,3 +204,29 @@
     // The same connect with all of its time is a failure of the upstream.
     assert_eq!(fixture.attempt(OTHER_UPSTREAM).await.outcome, Outcome::ConnectFailed);
 }
+
+/// `is_usable` waits without a deadline. It never has to wait for a peer: a connection whose exchange was given
+/// up counts as ended at once, and one whose exchange is complete is ready.
+#[tokio::test(flavor = "local")]
+async fn whether_a_connection_is_usable_does_not_depend_on_what_its_peer_does_next() {
+    const NOT_WAITING: Duration = Duration::from_secs(1);
+    let fixture = Fixture::with_max_connections(8).await;
+    let address = fixture.listener.local_addr().unwrap();
+
+    let mut given_up = Connection::open(address, ()).await.unwrap();
+    let (mut silent_peer, _) = fixture.listener.accept().await.unwrap();
+    let request = post_request().to_http(LONG_TIMEOUT);
+    let exchange = async {
+        tokio::select! {
+            _ = given_up.send(request) => panic!("nobody responds"),
+            () = read_request(&mut silent_peer) => {}
+        }
+    };
+    exchange.await;
+    assert!(!timeout(NOT_WAITING, given_up.is_usable()).await.expect("no wait"));
+
+    let (result, _peer) = tokio::join!(fixture.attempt(UPSTREAM), fixture.accept_and_respond(EMPTY_RESPONSE));
+    assert_eq!(result.outcome, Outcome::Ok);
+    let mut idle = fixture.upstreams.pool.take(UPSTREAM).expect("a kept connection");
+    assert!(timeout(NOT_WAITING, idle.is_usable()).await.expect("no wait"));
+}
