Check an overdue attempt when its response stops being of use, also if that is first

What callers saw (found by reading): where nearly all responses of a class take as long as its latency objective, an attempt at an unresponsive upstream was cancelled up to 0.02 of the objective later than it should be.

Cause: schedule_next_check took the first of two times in a fixed order; the second, useful_until, comes first where the typical latency exceeds 0.98 of the objective.

Why this works: the earlier of those that lie ahead is taken, and the other follows at the next check.

Evidence: the test added here failed before (cancelled after the objective of 10 s) and passes now (between 9.8 and 9.85 s).

--- a/crates/core/src/requests/overdue.rs
+++ b/crates/core/src/requests/overdue.rs
@@ -101,12 +101,15 @@
             && self.retry_budget.covers(RETRY_COST)
     }
 
-    /// Checks an attempt again at `long_overdue_at` if that lies ahead, otherwise at `useful_until`; never at
-    /// the deadline or later.
+    /// Checks an attempt again at `long_overdue_at` and at `useful_until`, whichever comes next; never at the
+    /// deadline or later.
     fn schedule_next_check(&mut self, check: OverdueCheck, attempt: &OverdueAttempt) {
         let times = [attempt.long_overdue_at, attempt.useful_until];
-        let next = times.into_iter().find(|time| *time > self.now && *time < attempt.deadline);
-        if let Some(next) = next {
+        let next = times
+            .into_iter()
+            .filter(|time| *time > self.now && *time < attempt.deadline)
+            .fold(Timestamp::DISTANT_FUTURE, Timestamp::min);
+        if next < Timestamp::DISTANT_FUTURE {
             let wait = Duration::from_secs_f64((next - self.now).max(MIN_CHECK_SECONDS));
             self.requests.schedule_check(OverdueCheck { due: self.elapsed + wait, ..check });
         }
--- a/crates/core/tests/cancellation.rs
+++ b/crates/core/tests/cancellation.rs
@@ -179,3 +179,37 @@
         assert_eq!(*timeout, expected_timeout, "late priority weight {late_priority_weight}");
     }
 }
+
+/// Where nearly all responses take as long as the latency objective, an attempt stops being of use before it
+/// counts as long overdue.
+#[test]
+fn an_attempt_at_an_unresponsive_upstream_is_cancelled_as_soon_as_its_response_is_of_no_use() {
+    const OBJECTIVE_MS: u64 = 10_000;
+    const USELESS_AFTER_MS: u64 = 9_800;
+    const TICK_MS: u64 = 25;
+    let class = request_class(OBJECTIVE_MS, 60_000, RetrySafety::AtMostOnce);
+    let settings = settings_without_hedging().classes(vec![class]).quotas(&[100.0]).build();
+    let mut harness = BalancerHarness::new(settings, &endpoints(1));
+    for _ in 0..40 {
+        let id = harness.send_request(0, 0, ms(60_000));
+        harness.advance(ms(OBJECTIVE_MS + 1_000));
+        harness.end_all_attempts(id, Outcome::Ok);
+    }
+
+    let unanswered: Vec<RequestId> = (0..4).map(|_| harness.send_request(0, 0, ms(60_000))).collect();
+    assert!(unanswered.iter().all(|id| harness.is_forwarded(*id)));
+    harness.advance(ms(USELESS_AFTER_MS - TICK_MS));
+    let mut cancelled_after_ms = None;
+    for step in 0..OBJECTIVE_MS / 10 {
+        harness.advance(ms(10));
+        if unanswered.iter().any(|id| harness.has_cancelled(*id, 0)) {
+            cancelled_after_ms.get_or_insert(USELESS_AFTER_MS - TICK_MS + 10 * (step + 1));
+        }
+    }
+
+    let cancelled_after_ms = cancelled_after_ms.expect("they are cancelled");
+    assert!(
+        (USELESS_AFTER_MS..=USELESS_AFTER_MS + 2 * TICK_MS).contains(&cancelled_after_ms),
+        "{cancelled_after_ms}"
+    );
+}
