Testbed: a soak of the end of a process, and wall-clock steps in the shim

The soak plays SIGTERM under traffic: clients use each connection until it ends or the process is killed, at the longest deadline (3 s at most) plus 0.7 s; new connections come for 0.2 to 0.4 s; SIGTERM and SIGHUP come in series; a third of the runs have a crowd of idle connections; upstreams respond at once, late or never; deadlines from 50 ms to 4 s, all three kinds of retry safety, system faults and wall-clock steps in half of the runs each. Lost is what an upstream got or the process logged as read without a response, and a response more than 0.5 s late.

--- a/crates/proxy/tests/large_fleet.rs
+++ b/crates/proxy/tests/large_fleet.rs
@@ -34,6 +34,7 @@
         max_chunk_bytes: 16 * 1024,
     },
     system_faults_per_mille: 0,
+    steps_clock: true,
 };
 
 /// The seeds 1 to `SOAK_SEEDS`, or the default ones.
--- a/crates/testbed/shims/system_faults.c
+++ b/crates/testbed/shims/system_faults.c
@@ -3,7 +3,7 @@
  *
  * Loaded with LD_PRELOAD. SYSTEM_FAULTS_PER_MILLE states how many of a thousand calls fail, SYSTEM_FAULTS_SEED
  * the seed that chooses them. Reads and writes are interrupted or short; accept, socket and connect lack resources
- * for a moment.
+ * for a moment. SYSTEM_FAULTS_CLOCK_STEPS=1 steps the wall clock now and then.
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -14,6 +14,7 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
+#include <time.h>
 
 static _Atomic uint64_t state;
 
@@ -124,3 +125,24 @@
     }
     return REAL(epoll_wait)(descriptor, events, max_events, timeout);
 }
+
+/* Steps of the wall clock against the true one, in seconds. */
+static const int clock_steps[] = {0, -3700, -60, -5, 5, 60, 3700};
+
+/* Draws another step at one reading of the wall clock in so many. */
+#define READINGS_PER_STEP 64
+
+int clock_gettime(clockid_t clock, struct timespec *time)
+{
+    static int steps = -1;
+    static _Atomic int offset;
+    int result = REAL(clock_gettime)(clock, time);
+    if (steps < 0)
+        steps = (int)from_environment("SYSTEM_FAULTS_CLOCK_STEPS", 0);
+    if (result != 0 || clock != CLOCK_REALTIME || !steps)
+        return result;
+    if (next_random() % READINGS_PER_STEP == 0)
+        offset = clock_steps[next_random() % (sizeof(clock_steps) / sizeof(clock_steps[0]))];
+    time->tv_sec += offset;
+    return result;
+}
--- a/crates/testbed/src/balancer_process.rs
+++ b/crates/testbed/src/balancer_process.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 const START_TIMEOUT: Duration = Duration::from_secs(20);
@@ -34,6 +34,10 @@
     pub folder: &'a Path,
     /// Variables that are added to its environment.
     pub environment: &'a [(&'static str, OsString)],
+    /// The request classes, in the form of the settings; `None` for one idempotent class.
+    pub classes: Option<serde_json::Value>,
+    /// What the process logs.
+    pub log_level: &'static str,
 }
 
 impl ProcessOptions<'_> {
@@ -43,6 +47,8 @@
 
     /// Renders the configuration file, in the platform's form. Fails if the cached endpoints are not JSON.
     fn configuration(&self) -> io::Result<String> {
+        let one_class =
+            || json!([{"name": "look", "aim_ms": 2000, "hard_limit_ms": 4000, "effect": "idempotent"}]);
         let cached_endpoints: serde_json::Value = serde_json::from_str(self.cached_endpoints)?;
         let configuration = json!({
             "name": format!("n{}", self.index),
@@ -53,7 +59,7 @@
             "known": cached_endpoints,
             "settings": {
                 "balancers": self.balancers, "me": self.index, "discovery": "automatic",
-                "classes": [{"name": "look", "aim_ms": 2000, "hard_limit_ms": 4000, "effect": "idempotent"}],
+                "classes": self.classes.clone().unwrap_or_else(one_class),
                 "failure_domains": ["a"], "skus": ["m"], "locality": 0,
                 "limits": {"conn_idle_ms": 5000, "connect_timeout_ms": 500, "try_limit": 4},
                 "parties": [{"name": "acme", "allowance_per_s": 100_000.0}],
@@ -64,8 +70,10 @@
 }
 
 /// A signal to a process.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Signal {
+    /// Shut down.
+    Terminate,
     /// Reload the configuration.
     Hangup,
     /// Pause.
@@ -77,6 +85,7 @@
 impl Signal {
     fn name(self) -> &'static str {
         match self {
+            Self::Terminate => "TERM",
             Self::Hangup => "HUP",
             Self::Stop => "STOP",
             Self::Continue => "CONT",
@@ -84,12 +93,25 @@
     }
 }
 
+/// How a process ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessEnd {
+    /// By itself, with success.
+    Succeeded,
+    /// By itself, with an error or a signal.
+    Failed,
+    /// It was killed.
+    Killed,
+}
+
 /// A running process; killed when dropped.
 pub struct BalancerProcess {
     child: Child,
     discovery: SocketAddr,
     configuration_path: PathBuf,
     log: Arc<Mutex<Vec<String>>>,
+    /// Ends with the log.
+    log_reader: Option<JoinHandle<()>>,
     started_at: Instant,
 }
 
@@ -101,16 +123,16 @@
         let started_at = Instant::now();
         let mut child = Command::new(options.program)
             .env("NODE_CONFIG", &configuration_path)
-            .env("NODE_LOG", "info")
+            .env("NODE_LOG", options.log_level)
             .envs(options.environment.iter().cloned())
             .stderr(Stdio::piped())
             .spawn()?;
         let log: Arc<Mutex<Vec<String>>> = Arc::default();
-        if let Some(stderr) = child.stderr.take() {
+        let log_reader = child.stderr.take().map(|stderr| {
             let log = Arc::clone(&log);
-            thread::spawn(move || collect_lines(stderr, &log));
-        }
-        Ok(Self { child, discovery: options.discovery, configuration_path, log, started_at })
+            thread::spawn(move || collect_lines(stderr, &log))
+        });
+        Ok(Self { child, discovery: options.discovery, configuration_path, log, log_reader, started_at })
     }
 
     /// Returns when the process was started.
@@ -155,6 +177,30 @@
         self.log.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> io::Result<bool> {
+        Ok(self.child.try_wait()?.is_some())
+    }
+
+    /// Kills the process, unless it has ended by itself. Returns how it ended.
+    pub fn kill_and_wait(&mut self) -> io::Result<ProcessEnd> {
+        if let Some(status) = self.child.try_wait()? {
+            return Ok(if status.success() { ProcessEnd::Succeeded } else { ProcessEnd::Failed });
+        }
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(ProcessEnd::Killed)
+    }
+
+    /// Waits for the end of the log, which comes with the end of the process, and returns it.
+    pub fn complete_log(&mut self) -> Vec<String> {
+        if let Some(reader) = self.log_reader.take() {
+            // A reader that has failed leaves what it has read.
+            let _ = reader.join();
+        }
+        self.log()
+    }
+
     /// Kills the process. Returns whether it was still running.
     pub fn kill(&mut self) -> io::Result<bool> {
         let was_running = self.child.try_wait()?.is_none();
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -10,14 +10,18 @@
 //! - [`balancer_process`]: a process of the balancer, started and killed;
 //! - [`client`]: sends requests one after another;
 //! - [`drain_rule`]: finds requests that reached a draining server too late;
-//! - [`shim`]: makes system calls of a balancer fail.
+//! - [`shim`]: makes system calls of a balancer fail, and steps its wall clock.
+//!
+//! [`shutdown`] is a soak test of the end of a single process.
 
 pub mod agent;
 pub mod balancer_process;
 pub mod client;
 pub mod drain_rule;
+mod message;
 pub mod registry;
 pub mod servers;
 pub mod shared_registry;
 pub mod shim;
+pub mod shutdown;
 pub mod soak;
--- a/crates/testbed/src/shim.rs
+++ b/crates/testbed/src/shim.rs
@@ -15,6 +15,8 @@
     pub per_mille: u32,
     /// The seed that chooses the calls.
     pub seed: u64,
+    /// The wall clock is stepped now and then, by seconds or an hour.
+    pub steps_clock: bool,
 }
 
 /// The built library.
@@ -44,6 +46,7 @@
             ("LD_PRELOAD", self.library.clone().into_os_string()),
             ("SYSTEM_FAULTS_PER_MILLE", faults.per_mille.to_string().into()),
             ("SYSTEM_FAULTS_SEED", faults.seed.to_string().into()),
+            ("SYSTEM_FAULTS_CLOCK_STEPS", u8::from(faults.steps_clock).to_string().into()),
         ]
     }
 }
--- a/crates/testbed/src/soak/fleet.rs
+++ b/crates/testbed/src/soak/fleet.rs
@@ -61,7 +61,11 @@
     /// Starts servers and agents, without balancers.
     pub fn new(plan: Plan, seed: u64, program: &'a Path, folder: &'a Path) -> io::Result<Self> {
         let mut random = fastrand::Rng::with_seed(seed);
-        let shim = if plan.system_faults_per_mille > 0 { Some(Shim::build(folder)?) } else { None };
+        let shim = if plan.system_faults_per_mille > 0 || plan.steps_clock {
+            Some(Shim::build(folder)?)
+        } else {
+            None
+        };
         let groups = ServerGroups::start(plan.groups)?;
         let servers = (0..plan.servers).map(|index| {
             let address = groups.addresses()[index % plan.groups];
@@ -99,7 +103,11 @@
 
     /// Starts a balancer and its clients.
     pub fn start(&mut self, index: usize, cached_endpoints: &str) -> io::Result<()> {
-        let faults = SystemFaults { per_mille: self.plan.system_faults_per_mille, seed: self.random.u64(..) };
+        let faults = SystemFaults {
+            per_mille: self.plan.system_faults_per_mille,
+            seed: self.random.u64(..),
+            steps_clock: self.plan.steps_clock,
+        };
         let environment = self.shim.as_ref().map_or_else(Vec::new, |shim| shim.environment(faults));
         let mut process = BalancerProcess::start(&ProcessOptions {
             program: self.program,
@@ -109,6 +117,8 @@
             cached_endpoints,
             folder: self.folder,
             environment: &environment,
+            classes: None,
+            log_level: "info",
         })?;
         let name = format!("b{index}r{}", self.report.starts);
         self.report.starts += 1;
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -38,6 +38,8 @@
     pub agent_faults: AgentFaults,
     /// How many of a thousand system calls of a balancer fail.
     pub system_faults_per_mille: u32,
+    /// The wall clocks of the balancers are stepped.
+    pub steps_clock: bool,
 }
 
 /// The result of a run.
