Follow a long endpoint list as long as it keeps arriving

What callers saw: with discovery at under about 190 KB/s, the complete list of 3,200 upstreams was broken off after 2.5 s, by every watch again, so that a large fleet, and what drains in it, was never learned.

Cause: receive_updates counted as a sign of life only that an object begins or is complete; try_fetch gave the whole body 2.5 s.

Change: discovery/transfer.rs states how long a list may take: given up after 2.5 s without any byte, under a mean rate of 32 KiB/s beyond the first 2.5 s, or after 10 s. Both readers use it.

Why this works: 480 KB in 8 s are 60 KB/s, about twice the least rate, while a list that trickles in earns next to no time. A list without an end still meets the 8 MiB or the 10 s (a_list_without_an_end_is_given_up_in_time unchanged).

A stall of 3 s in the middle is given up within 4 s, a byte at a time within 3 s, before and after.

--- a/crates/proxy/src/discovery/client.rs
+++ b/crates/proxy/src/discovery/client.rs
@@ -3,27 +3,26 @@
 use crate::discovery::call::{CallStrategy, DiscoveryCaller, DiscoveryResponse};
 use crate::discovery::endpoint_list::{EndpointListError, EndpointListReader, WatchEvent};
 use crate::discovery::error::DiscoveryError;
-use crate::discovery::watch::WATCH_SILENCE_TIMEOUT;
+use crate::discovery::transfer::Transfer;
 use crate::metrics::Metrics;
 use crate::rate_limited_log::RateLimitedLog;
 use balancer_core::{Availability, UpdateScope};
 use balancer_settings::Site;
+use bytes::BytesMut;
 use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 /// Where discovery serves the endpoint list.
 pub(super) const LIST_PATH: &str = "/registry/instances";
 /// A fetched list of more bytes is an error, and so is a list of a watch that is still incomplete after so
 /// many.
 pub(super) const MAX_LIST_BYTES: usize = 8 * 1024 * 1024;
-/// How long the body of a fetched list may take.
-const FETCH_BODY_TIMEOUT: Duration = WATCH_SILENCE_TIMEOUT;
 
 /// How far the first list that a watch brings since the start has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -142,10 +141,7 @@
 
     async fn try_fetch(&self) -> Result<WatchEvent, DiscoveryError> {
         let DiscoveryResponse { connection: _connection, body } = self.caller.call(LIST_PATH).await?;
-        let collect = Limited::new(body, MAX_LIST_BYTES).collect();
-        let collected =
-            timeout(FETCH_BODY_TIMEOUT, collect).await.map_err(|_| DiscoveryError::BodyTimeout)?;
-        let text = collected.map_err(DiscoveryError::Body)?.to_bytes();
+        let text = read_list(body).await?;
         let update = self.read(&text)?;
         Ok(WatchEvent { scope: UpdateScope::Snapshot, ..update })
     }
@@ -166,3 +162,17 @@
         }
     }
 }
+
+/// Reads the body of a fetched list, as long as it keeps arriving.
+async fn read_list(body: Incoming) -> Result<BytesMut, DiscoveryError> {
+    let mut body = Limited::new(body, MAX_LIST_BYTES);
+    let mut text = BytesMut::new();
+    let mut transfer = Transfer::begin(0);
+    loop {
+        let received = timeout_at(transfer.gives_up_at(), body.frame()).await;
+        let Some(frame) = received.map_err(|_| DiscoveryError::BodyTimeout)? else { return Ok(text) };
+        let Ok(data) = frame.map_err(DiscoveryError::Body)?.into_data() else { continue };
+        transfer.record(data.len());
+        text.extend_from_slice(&data);
+    }
+}
--- a/crates/proxy/src/discovery/error.rs
+++ b/crates/proxy/src/discovery/error.rs
@@ -28,11 +28,11 @@
     /// The body of a fetched list broke off or is too long.
     #[error("body of the response: {0}")]
     Body(#[source] Box<dyn Error + Send + Sync>),
-    /// The body of a fetched list was not complete in time.
-    #[error("body of the response not complete in time")]
+    /// The body of a fetched list stalled, or arrived too slowly.
+    #[error("body of the response stalled or too slow")]
     BodyTimeout,
-    /// A watch has sent neither a list nor an empty line for too long.
-    #[error("watch silent for too long")]
+    /// A watch has sent neither a list nor an empty line for too long, or a list arrives too slowly.
+    #[error("watch silent or too slow for too long")]
     WatchSilent,
     /// The stream of a watch is not a sequence of JSON objects.
     #[error("unreadable stream: {0}")]
--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -16,4 +16,5 @@
 pub mod endpoint_list;
 mod error;
 mod json_stream;
+mod transfer;
 mod watch;
--- a/crates/proxy/src/discovery/watch.rs
+++ b/crates/proxy/src/discovery/watch.rs
@@ -5,16 +5,10 @@
 use crate::discovery::endpoint_list::WatchEvent;
 use crate::discovery::error::DiscoveryError;
 use crate::discovery::json_stream::{JsonStream, StreamItem};
+use crate::discovery::transfer::{SILENCE_TIMEOUT, Transfer};
 use http_body_util::BodyExt;
-use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// A watch without a message for this long has failed, whatever the state of its connection: discovery sends
-/// at least an empty line every 2 s. A change counts as delivered (see [`discovery`](crate::discovery)) at
-/// the latest 6 s after the watch fell silent, which leaves time to find out, to find the same of the next
-/// watch, and to begin a third.
-pub(super) const WATCH_SILENCE_TIMEOUT: Duration = Duration::from_millis(2500);
-
 impl Discovery {
     /// Watches the endpoint list from the version in use on, until the watch ends or fails, which is logged.
     /// Each update that comes is passed to `deliver`.
@@ -35,23 +29,30 @@
         self.advance_progress(FirstListProgress::Receiving);
         let mut messages = JsonStream::new(MAX_LIST_BYTES);
         let mut last_message_at = Instant::now();
+        // The list that has begun to arrive.
+        let mut transfer: Option<Transfer> = None;
         loop {
-            let silent_at = last_message_at + WATCH_SILENCE_TIMEOUT;
+            let gives_up_at =
+                transfer.map_or(last_message_at + SILENCE_TIMEOUT, |transfer| transfer.gives_up_at());
             let received =
-                timeout_at(silent_at, body.frame()).await.map_err(|_| DiscoveryError::WatchSilent)?;
+                timeout_at(gives_up_at, body.frame()).await.map_err(|_| DiscoveryError::WatchSilent)?;
             let Some(frame) = received else { return Ok(()) };
             let Ok(data) = frame?.into_data() else { continue };
             self.advance_progress(FirstListProgress::Receiving);
-            let was_within_object = messages.is_within_object();
             messages.push(&data);
             let received_message = self
                 .deliver_complete_messages(&mut messages, &mut deliver)
                 // An unreadable message may have been a drain.
                 .inspect_err(|_| self.discard_version())?;
-            // The beginning of a list counts as a message: a long list has the full timeout from there.
-            let list_began = messages.is_within_object() && !was_within_object;
-            if received_message || list_began {
+            if received_message {
                 last_message_at = Instant::now();
+                transfer = None;
+            }
+            if messages.is_within_object() {
+                match &mut transfer {
+                    Some(transfer) => transfer.record(data.len()),
+                    None => transfer = Some(Transfer::begin(data.len())),
+                }
             }
         }
     }
--- a/crates/proxy/src/driver/tests.rs
+++ b/crates/proxy/src/driver/tests.rs
@@ -239,3 +239,76 @@
     let later = driver.submit(post_request("/later"));
     assert!(matches!(later.response().await, FinalResponse::Rejected { .. }));
 }
+
+/// A list of 3,200 upstreams, about 480 KB.
+fn long_list(revision: u64) -> Vec<u8> {
+    let entry = |number| {
+        format!(
+            r#"{{"uid":"s-{number:08x}","endpoint":"10.1.{}.{}:3000","az":"a","model":"m2","pod_group":3,"state":"Ready","capacity_hint":1.0,"boot_ms":0}}"#,
+            number / 250,
+            number % 250
+        )
+    };
+    let entries: Vec<_> = (0..3200).map(entry).collect();
+    format!(r#"{{"rev":{revision},"all":true,"targets":[{}]}}"#, entries.join(",")).into_bytes()
+}
+
+/// Sends a list in pieces that take this long together, with a pause in the middle.
+async fn send_slowly(watch: &mut TcpStream, list: &[u8], duration: Duration, pause: Duration) {
+    const PIECE_BYTES: usize = 1400;
+    let pieces = list.len().div_ceil(PIECE_BYTES);
+    watch.write_all(LIST_HEAD).await.unwrap();
+    for (number, piece) in list.chunks(PIECE_BYTES).enumerate() {
+        let chunk = [format!("{:x}\r\n", piece.len()).as_bytes(), piece, b"\r\n"].concat();
+        if watch.write_all(&chunk).await.is_err() {
+            return;
+        }
+        sleep(duration / pieces as u32).await;
+        if number == pieces / 2 {
+            sleep(pause).await;
+        }
+    }
+}
+
+/// Discovery may be slow, and a fleet has thousands of upstreams: a list that is broken off is never learned.
+#[tokio::test(flavor = "local", start_paused = true)]
+async fn a_long_list_that_keeps_arriving_is_followed_to_its_end() {
+    for seconds in [1, 2, 3, 4, 8] {
+        let (driver, discovery) = watching_driver().await;
+        let mut watch = accept_watch(&discovery).await;
+
+        send_slowly(&mut watch, &long_list(seconds), Duration::from_secs(seconds), Duration::ZERO).await;
+        sleep(Duration::from_millis(100)).await;
+
+        assert_eq!(driver.list_version(), seconds, "a list that arrives over {seconds} s");
+    }
+}
+
+/// A stall in the middle of a list is silence, as between two lists.
+#[tokio::test(flavor = "local", start_paused = true)]
+async fn a_long_list_that_stalls_or_trickles_in_is_given_up_in_time() {
+    let (driver, discovery) = watching_driver().await;
+    let mut stalling = accept_watch(&discovery).await;
+    let list = long_list(9);
+    let second = Duration::from_secs(1);
+    let sending = spawn_local(async move { send_slowly(&mut stalling, &list, second, 3 * second).await });
+    let began_at = Instant::now();
+    let mut trickling = accept_watch(&discovery).await;
+    assert!(began_at.elapsed() < 4 * second, "stalling: {:?}", began_at.elapsed());
+    sending.abort();
+
+    trickling.write_all(LIST_HEAD).await.unwrap();
+    let began_at = Instant::now();
+    let sending = spawn_local(async move {
+        for byte in long_list(9) {
+            if trickling.write_all(format!("1\r\n{}\r\n", byte as char).as_bytes()).await.is_err() {
+                return;
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+    });
+    accept_watch(&discovery).await;
+    assert!(began_at.elapsed() < 3 * second, "trickling: {:?}", began_at.elapsed());
+    sending.abort();
+    assert_eq!(driver.list_version(), 0);
+}
