Reject request heads over 32 KiB with 431, to the byte

What callers saw: the longest head was stated as 32 KiB, and one of 40,000 bytes was served, or not, by how it arrived.

Cause: the only limit was the length of hyper's buffer, which is looked at before the next read: a head may be up to one read longer.

Change: the validation measures the head; the buffer is twice as long, and what does not fit into it gets the 431 of hyper.

Evidence: the first test added here failed on (32,769 bytes: 200) and passes with heads of 32,767 to 60,000 bytes, whole and in pieces of 8,000 and 1,000; the second holds before and after.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -3,6 +3,7 @@
 use crate::downstream::client::{Client, ClientState};
 use crate::downstream::client_stream::{ClientSocket, ClientStream};
 use crate::downstream::handler::RequestHandler;
+use crate::downstream::request::MAX_REQUEST_HEAD_BYTES;
 use crate::downstream::response::ClientResponse;
 use crate::lifecycle::LifecyclePhase;
 use hyper::Request;
@@ -28,8 +29,9 @@
 /// [`CLOSE_CHECK_INTERVAL`].
 const RESPONSE_WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Size of a connection's buffer, and with it the longest request head.
-const MAX_BUFFER_BYTES: usize = 32 * 1024;
+/// Size of a connection's buffer. hyper responds to a head that does not fit with 431; what fits may be up to one
+/// read longer. [`RequestValidator`](crate::downstream::request::RequestValidator) has the exact limit.
+const MAX_BUFFER_BYTES: usize = 2 * MAX_REQUEST_HEAD_BYTES;
 
 type HttpConnection<S> = http1::Connection<TokioIo<ClientStream>, S>;
 
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -20,6 +20,8 @@
 #[cfg(test)]
 mod tests;
 
+/// The longest request head: request line, headers and the empty line behind them.
+pub const MAX_REQUEST_HEAD_BYTES: usize = 32 * 1024;
 /// The longest request body.
 pub const MAX_REQUEST_BODY_BYTES: usize = 64 * 1024;
 /// Subtracted from the time that a client still waits: the transfer of the request and of the response, and
@@ -39,6 +41,9 @@
     /// if the upstream trusts the other one.
     #[error("Content-Length beside Transfer-Encoding")]
     ConflictingLengths,
+    /// The head is longer than [`MAX_REQUEST_HEAD_BYTES`].
+    #[error("the head is too long")]
+    HeadTooLong,
     /// There is no `Host` header, or several.
     #[error("not one Host")]
     NotOneHost,
@@ -90,6 +95,7 @@
             Self::UnknownClass => StatusCode::NOT_FOUND,
             Self::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
             Self::UnknownTenant => StatusCode::FORBIDDEN,
+            Self::HeadTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::DuplicateCorrelationId => StatusCode::CONFLICT,
@@ -192,6 +198,9 @@
 
     /// Validates a request head. Conflicting lengths are not visible here; see `ClientSocket`.
     pub fn validate_head(&self, parts: Parts) -> Result<RequestHead, RequestError> {
+        if head_length(&parts) > MAX_REQUEST_HEAD_BYTES {
+            return Err(RequestError::HeadTooLong);
+        }
         let headers = &parts.headers;
         if headers.get_all(HOST).iter().count() != 1 {
             return Err(RequestError::NotOneHost);
@@ -253,6 +262,16 @@
     }
 }
 
+/// The length of a head in its shortest form on the wire: one space behind the colon of each header.
+fn head_length(parts: &Parts) -> usize {
+    let target = parts.uri.path_and_query().map_or(0, |target| target.as_str().len());
+    let request_line = parts.method.as_str().len() + " ".len() + target + " HTTP/1.1\r\n".len();
+    let header_length =
+        |(name, value): (&HeaderName, &HeaderValue)| name.as_str().len() + ": \r\n".len() + value.len();
+    let headers: usize = parts.headers.iter().map(header_length).sum();
+    request_line + headers + "\r\n".len()
+}
+
 fn correlation_id(headers: &HeaderMap) -> Result<HeaderValue, RequestError> {
     let id = single_value(headers, &CORRELATION_ID)?;
     let id = id.filter(|id| id.to_str().is_ok_and(|text| !text.is_empty()));
--- a/crates/proxy/tests/malformed_requests.rs
+++ b/crates/proxy/tests/malformed_requests.rs
@@ -5,6 +5,8 @@
 
 use common::*;
 
+/// The longest request head that the proxy accepts.
+const MAX_REQUEST_HEAD_BYTES: usize = 32 * 1024;
 /// The largest body that the proxy accepts.
 const MAX_REQUEST_BODY_BYTES: usize = 64 * 1024;
 /// The length and the body of a request with the body `x`.
@@ -73,3 +75,58 @@
     assert_eq!(proxy.connect().exchange(&at_most_once_request(5000, longest)).status(), 200);
     assert!(proxy.is_running());
 }
+
+/// A request whose head has this length.
+fn request_with_head_of(length: usize) -> String {
+    let request = idempotent_request(5000);
+    let padding = length - request.len() - "X-Padding: \r\n".len();
+    let request = request.replacen("Host", &format!("X-Padding: {}\r\nHost", "y".repeat(padding)), 1);
+    assert_eq!(request.len(), length);
+    request
+}
+
+/// The status of the response to a request that arrives in pieces of this length.
+fn status_of(proxy: &ProxyProcess, request: &str, piece_length: usize) -> u16 {
+    let client = proxy.connect();
+    let mut writer = client.writer();
+    for piece in request.as_bytes().chunks(piece_length) {
+        // The proxy may close the connection before it has the rest.
+        if std::io::Write::write_all(&mut writer, piece).is_err() {
+            break;
+        }
+    }
+    let mut client = client;
+    client.response().expect("a response").status()
+}
+
+/// The limit holds to the byte, however a head arrives.
+#[test]
+fn a_request_head_over_the_limit_is_rejected_and_one_at_the_limit_is_served() {
+    let upstream = StubUpstream::start(Behavior::Respond(OK_RESPONSE));
+    let proxy = ProxyConfig::new(&[upstream.address]).start();
+
+    for piece_length in [usize::MAX, 8000, 1000] {
+        for length in [MAX_REQUEST_HEAD_BYTES - 1, MAX_REQUEST_HEAD_BYTES] {
+            let status = status_of(&proxy, &request_with_head_of(length), piece_length);
+            assert_eq!(status, 200, "{length} bytes in pieces of {piece_length}");
+        }
+        for length in [MAX_REQUEST_HEAD_BYTES + 1, 40_000, 60_000] {
+            let status = status_of(&proxy, &request_with_head_of(length), piece_length);
+            assert_eq!(status, 431, "{length} bytes in pieces of {piece_length}");
+        }
+    }
+}
+
+/// What does not fit into the buffer of a connection, either.
+#[test]
+fn a_request_head_far_over_the_limit_is_rejected_while_it_arrives() {
+    let upstream = StubUpstream::start(Behavior::Respond(OK_RESPONSE));
+    let mut proxy = ProxyConfig::new(&[upstream.address]).start();
+    let mut client = proxy.connect();
+
+    // Without its end, so that nothing is unread when the connection closes.
+    client.send(&request_with_head_of(4 * MAX_REQUEST_HEAD_BYTES)[..2 * MAX_REQUEST_HEAD_BYTES]);
+
+    assert_eq!(client.response().expect("a response").status(), 431);
+    assert!(upstream.requests().is_empty() && proxy.is_running());
+}
