Ask in one place whether a system call was interrupted

A refactoring: socket_io::is_interrupted and is_retryable serve the three places that each looked at the kind of the error. No behaviour changes.

--- a/crates/proxy/src/downstream/client_stream.rs
+++ b/crates/proxy/src/downstream/client_stream.rs
@@ -82,10 +82,8 @@
                 self.read_ahead.borrow_mut().extend_from_slice(&chunk[..length]);
                 StreamState::Open
             }
-            Err(error) => match error.kind() {
-                io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted => StreamState::Open,
-                _ => StreamState::Closed,
-            },
+            Err(error) if socket_io::is_retryable(&error) => StreamState::Open,
+            Err(_) => StreamState::Closed,
         }
     }
 
--- a/crates/proxy/src/socket_io.rs
+++ b/crates/proxy/src/socket_io.rs
@@ -10,16 +10,21 @@
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
 
+/// Whether a failed call was interrupted by a signal and has to be repeated at once.
+pub fn is_interrupted(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::Interrupted
+}
+
 /// Whether a failed call has to be repeated, either at once or when the stream is ready again.
-fn is_retryable(error: &io::Error) -> bool {
-    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+pub fn is_retryable(error: &io::Error) -> bool {
+    is_interrupted(error) || error.kind() == io::ErrorKind::WouldBlock
 }
 
 /// Connects to a peer. Fails with the error of the connect call.
 pub async fn connect(peer: SocketAddr) -> io::Result<TcpStream> {
     loop {
         match TcpStream::connect(peer).await {
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => yield_now().await,
+            Err(e) if is_interrupted(&e) => yield_now().await,
             connected => return connected,
         }
     }
--- a/crates/proxy/src/upstream/counting_stream.rs
+++ b/crates/proxy/src/upstream/counting_stream.rs
@@ -46,7 +46,7 @@
         }
         loop {
             return match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) if socket_io::is_interrupted(&e) => continue,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
                 Err(e) => Err(e),
                 Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
