Count discovery calls that fail or are given up, and not the cached list as received

What operators saw: nothing told how many calls to discovery failed or were given up for lateness (only a log line at a bounded rate did), and the list known from the configuration was counted among the lists from discovery.

Change: a counter discovery_calls_failed, for sequential and overlapping calls alike; read_cached adopts a list without counting it.

Evidence: the two tests added here. The first needs the counter; the second counted one list and its bytes before, and none now.

--- a/crates/proxy/src/discovery/call.rs
+++ b/crates/proxy/src/discovery/call.rs
@@ -99,6 +99,9 @@
             Err(_) => response_head_timeout.grow(),
         }
         self.response_head_timeout.set(response_head_timeout);
+        if !matches!(result, Ok(Ok(_))) {
+            self.metrics.discovery_calls_failed.inc();
+        }
         result.unwrap_or(Err(DiscoveryError::ResponseHeadTimeout))
     }
 
@@ -115,13 +118,21 @@
                 tokio::select! {
                     Some(result) = calls.next() => match result {
                         Ok(Ok(response)) => return Ok(response),
-                        Ok(Err(e)) if calls.is_empty() => return Err(e),
-                        Ok(Err(e)) => self.log.warn(|skipped| {
-                            tracing::warn!(skipped, error = %e, "overlapping discovery call failed");
-                        }),
-                        Err(_) => self.log.warn(|skipped| {
-                            tracing::warn!(skipped, "overlapping discovery call given up");
-                        }),
+                        Ok(Err(error)) => {
+                            self.metrics.discovery_calls_failed.inc();
+                            if calls.is_empty() {
+                                return Err(error);
+                            }
+                            self.log.warn(|skipped| {
+                                tracing::warn!(skipped, %error, "overlapping discovery call failed");
+                            });
+                        }
+                        Err(_) => {
+                            self.metrics.discovery_calls_failed.inc();
+                            self.log.warn(|skipped| {
+                                tracing::warn!(skipped, "overlapping discovery call given up");
+                            });
+                        }
                     },
                     () = &mut next_call => break,
                 }
--- a/crates/proxy/src/discovery/client.rs
+++ b/crates/proxy/src/discovery/client.rs
@@ -93,18 +93,27 @@
 
     /// Reads an endpoint list, or changes of the one in use, and adopts its version.
     pub(super) fn read(&self, text: &[u8]) -> Result<WatchEvent, EndpointListError> {
+        let update = self.adopt(text)?;
+        self.metrics.endpoint_lists.inc();
+        self.metrics.endpoint_list_bytes.inc_by(text.len() as u64);
+        Ok(update)
+    }
+
+    /// Reads a list and adopts its version.
+    fn adopt(&self, text: &[u8]) -> Result<WatchEvent, EndpointListError> {
         let list = self.reader.read(text)?;
         self.version.set(list.version);
-        self.record_list(&list.update, text.len());
+        self.metrics.endpoint_list_version.set(list.version as i64);
+        self.log_list(&list.update, text.len());
         Ok(list.update)
     }
 
     /// Reads the cached endpoint list of the configuration, as [`UpdateScope::Cached`]. One that is
-    /// unreadable is logged and counts as empty.
+    /// unreadable is logged and counts as empty. It does not count as received from discovery.
     pub fn read_cached(&self, text: &str) -> WatchEvent {
         let mut entries = Vec::new();
         if !text.is_empty() {
-            match self.read(text.as_bytes()) {
+            match self.adopt(text.as_bytes()) {
                 Ok(update) => entries = update.entries,
                 Err(e) => tracing::warn!(error = %e, "cached endpoint list is unreadable"),
             }
@@ -112,7 +121,7 @@
         WatchEvent { scope: UpdateScope::Cached, entries }
     }
 
-    fn record_list(&self, update: &WatchEvent, bytes: usize) {
+    fn log_list(&self, update: &WatchEvent, bytes: usize) {
         let count = |availability| {
             update.entries.iter().filter(|endpoint| endpoint.state.availability == availability).count()
         };
@@ -125,9 +134,6 @@
             bytes,
             "endpoint list read"
         );
-        self.metrics.endpoint_lists.inc();
-        self.metrics.endpoint_list_bytes.inc_by(bytes as u64);
-        self.metrics.endpoint_list_version.set(self.version() as i64);
     }
 
     /// Fetches the whole endpoint list. A failure is logged and returned as an update of
--- a/crates/proxy/src/driver/tests.rs
+++ b/crates/proxy/src/driver/tests.rs
@@ -312,3 +312,34 @@
     sending.abort();
     assert_eq!(driver.list_version(), 0);
 }
+
+/// Where a call gets no response, several are made at once, and each of them is given up by itself.
+#[tokio::test(flavor = "local", start_paused = true)]
+async fn calls_to_discovery_that_are_given_up_count_as_failed() {
+    for mode in ["automatic", "subscribe"] {
+        let (driver, discovery) = driver_with_discovery(mode).await;
+        let mut unanswered = Vec::new();
+        for _ in 0..3 {
+            unanswered.push(accept_watch(&discovery).await);
+        }
+        // Longer than any call is waited for.
+        sleep(Duration::from_secs(3)).await;
+
+        let failed = driver.metrics.discovery_calls_failed.get();
+        let calls = driver.metrics.discovery_calls.get();
+        assert!(failed >= 2 && failed <= calls, "{mode}: {failed} of {calls}");
+    }
+}
+
+/// The list that a process knows at its start did not come from discovery.
+#[tokio::test(flavor = "local")]
+async fn the_cached_list_does_not_count_as_received() {
+    let upstream = listen().await;
+
+    let driver = driver_with_one_connection(&upstream);
+
+    assert_eq!(driver.list_version(), 1);
+    assert_eq!(driver.metrics.endpoint_lists.get(), 0);
+    assert_eq!(driver.metrics.endpoint_list_bytes.get(), 0);
+    assert_eq!(driver.metrics.endpoint_list_version.get(), 1);
+}
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -101,6 +101,8 @@
     pub withheld_attempts: Counter,
     /// Calls to discovery that were begun.
     pub discovery_calls: Counter,
+    /// Calls to discovery that failed or were given up before the head of their response.
+    pub discovery_calls_failed: Counter,
     /// Watches that discovery ended or that failed. One aborted by a move of discovery does not count.
     pub watches_ended: Counter,
     /// Endpoint lists and changes of them that were read.
@@ -121,6 +123,7 @@
             retries_and_hedges: Counter::default(),
             withheld_attempts: Counter::default(),
             discovery_calls: Counter::default(),
+            discovery_calls_failed: Counter::default(),
             watches_ended: Counter::default(),
             endpoint_lists: Counter::default(),
             endpoint_list_bytes: Counter::default(),
@@ -145,6 +148,7 @@
                 &self.withheld_attempts,
             ),
             ("discovery_calls", "Calls to discovery", &self.discovery_calls),
+            ("discovery_calls_failed", "Calls to discovery that failed", &self.discovery_calls_failed),
             ("watches_ended", "Watches that discovery ended or that failed", &self.watches_ended),
             ("endpoint_lists", "Endpoint lists and changes read", &self.endpoint_lists),
             ("endpoint_list_bytes", "Bytes of endpoint lists and changes", &self.endpoint_list_bytes),
