Let upstreams outside the subset warm up for retries; count each candidate once

What callers saw (found by reading): a request that may be retried only where its idempotency key is known, in a cell whose other upstreams are outside the subset, failed for ever once these had started or had been ejected.

Cause: the end of slow start is noted in update_weights, for members only.

Change: retries ask upstreams outside the subset for the time since their start. The six candidates of a retry are the members from the present turn on, then the others; a member could count twice before.

Evidence: the test added here had no retry before.

--- a/crates/core/src/requests/retry.rs
+++ b/crates/core/src/requests/retry.rs
@@ -89,17 +89,18 @@
     }
 
     /// The least loaded of the first upstreams that may take a retry: the subset from the present turn on,
-    /// then all upstreams from a random start. A member of the subset may count twice towards
-    /// [`MAX_CANDIDATES`].
+    /// then the others from a random start.
     fn retry_upstream(&self, request: &Request, start: usize) -> Option<usize> {
         let subset = self.upstreams.subset();
         let count = self.upstreams.len();
         let turn = self.round_robin.position();
         let subset_from_turn = (1..=subset.len()).map(|step| subset[(turn + step) % subset.len()]);
-        let all_from_random_start = (0..count).map(|step| (step + start % count) % count);
+        let others_from_random_start = (0..count)
+            .map(|step| (step + start % count) % count)
+            .filter(|position| !self.upstreams.at(*position).in_subset);
         let load = |position: usize| self.retry_load(self.upstreams.at(position));
         subset_from_turn
-            .chain(all_from_random_start)
+            .chain(others_from_random_start)
             .filter(|position| self.may_take_retry(request, self.upstreams.at(*position)))
             .take(MAX_CANDIDATES)
             .min_by(|a, b| load(*a).total_cmp(&load(*b)))
@@ -120,13 +121,22 @@
     /// failure arrive together and could overload it.
     fn may_take_retry(&self, request: &Request, upstream: &Upstream) -> bool {
         upstream.is_ready()
-            && !upstream.slow_start.is_active()
+            && !self.is_warming_up(upstream)
             && !upstream.outlier.is_ejected(self.now)
             && !upstream.outlier.is_ejected_for(request.class)
             && request.attempts.iter().all(|attempt| attempt.upstream != upstream.id)
             && self.is_retry_safe(request, upstream)
     }
 
+    /// Whether an upstream is in slow start. Outside the subset nothing notes its end.
+    fn is_warming_up(&self, upstream: &Upstream) -> bool {
+        if upstream.in_subset {
+            upstream.slow_start.is_active()
+        } else {
+            upstream.slow_start.is_warming_up(self.now, &self.settings)
+        }
+    }
+
     /// Whether an attempt at an upstream cannot execute the request a second time.
     fn is_retry_safe(&self, request: &Request, upstream: &Upstream) -> bool {
         let executed = request.attempts.iter().find(|attempt| attempt.in_flight || attempt.possibly_executed);
--- a/crates/core/src/upstreams/slow_start.rs
+++ b/crates/core/src/upstreams/slow_start.rs
@@ -45,6 +45,12 @@
         self.started_at
     }
 
+    /// Whether the upstream is warming up at this time, whether or not it is in the subset.
+    pub(crate) fn is_warming_up(&self, now: Timestamp, settings: &Settings) -> bool {
+        let duration = settings.slow_start_duration.as_secs_f64();
+        self.started_at.is_some_and(|started_at| now - started_at < duration)
+    }
+
     /// Whether the upstream counts as warming up. Updated only while it is in the subset.
     pub(crate) fn is_active(&self) -> bool {
         self.started_at.is_some()
--- a/crates/core/tests/retries.rs
+++ b/crates/core/tests/retries.rs
@@ -56,3 +56,32 @@
     let retries: usize = harness.attempts.values().map(|attempts| attempts.len() - 1).sum();
     assert!(retries <= 4, "{retries} retries for 16 requests in a second");
 }
+
+/// Where the upstreams that share an idempotency key are outside the subset, they still warm up.
+#[test]
+fn a_retry_goes_to_an_upstream_outside_the_subset_once_that_has_warmed_up() {
+    const SLOW_START_MS: u64 = 2000;
+    let deduplicated = RetrySafety::Deduplicated { scope: DeduplicationScope::Cell, ttl: ms(60_000) };
+    let settings = SettingsBuilder::new(deduplicated)
+        .balancers(240)
+        .quotas(&[480.0])
+        .slow_start(0.2, ms(SLOW_START_MS))
+        .build();
+    // Two upstreams in each cell, most of them outside the subset; all have just started.
+    let endpoints: Vec<_> = (0..48)
+        .map(|number| {
+            let cell = CellId(number / 2);
+            let builder = EndpointBuilder::new(u64::from(number + 1) * 7919);
+            builder.located_in(ZoneId(0), cell).started_at(ms(0)).build()
+        })
+        .collect();
+    for (warm_up_ms, is_retried) in [(SLOW_START_MS / 2, false), (2 * SLOW_START_MS, true)] {
+        let mut harness = BalancerHarness::new(settings.clone(), &endpoints);
+        harness.advance(ms(warm_up_ms));
+
+        let id = harness.send_request(0, 0, ms(1000));
+        harness.end_attempt(id, 0, Outcome::Reset);
+
+        assert_eq!(harness.upstream_of(id, 1).is_some(), is_retried, "after {warm_up_ms} ms");
+    }
+}
