--- a/crates/core/tests/cancellation.rs
+++ b/crates/core/tests/cancellation.rs
@@ -120,6 +120,36 @@
     assert!(cancelled_attempts <= 30, "{cancelled_attempts} of 400 cancelled, all would have been served");
 }
 
+/// The same where all attempts are cancelled, so that nothing else tells that they take long.
+#[test]
+fn attempts_are_cancelled_later_where_none_but_cancelled_ones_were_seen() {
+    const EARLIEST_MS: u64 = 240;
+    const ROUNDS: usize = 3;
+    let settings = settings_without_hedging().quotas(&[1000.0]).build();
+    let mut harness = BalancerHarness::new(settings, &endpoints(1));
+
+    let mut cancelled_after_ms = Vec::new();
+    for _ in 0..ROUNDS {
+        let requests: Vec<RequestId> = (0..4).map(|_| harness.send_request(0, 0, ms(1000))).collect();
+        let mut waited_ms = 0;
+        while !requests.iter().any(|id| harness.has_cancelled(*id, 0)) {
+            harness.advance(ms(5));
+            waited_ms += 5;
+            assert!(waited_ms < 1000, "one is cancelled");
+        }
+        cancelled_after_ms.push(waited_ms);
+        for id in requests {
+            harness.deliver(Event::ClientDisconnected { id });
+            harness.end_all_attempts(id, Outcome::Cancelled);
+        }
+    }
+
+    let first = cancelled_after_ms[0];
+    let last = cancelled_after_ms[ROUNDS - 1];
+    assert!((EARLIEST_MS..EARLIEST_MS + 50).contains(&first), "{cancelled_after_ms:?}");
+    assert!(last > first + 50, "the typical latency has risen: {cancelled_after_ms:?}");
+}
+
 /// Work for a response that is worth nothing any more serves nobody. Such an attempt is cancelled at the
 /// latency objective if its upstream is unresponsive, and waited for if the upstream serves others. An
 /// attempt whose late response still earns something is not cancelled.
--- a/crates/proxy/tests/client_connections.rs
+++ b/crates/proxy/tests/client_connections.rs
@@ -8,12 +8,15 @@
 
 /// A limit that a hundred clients exceed.
 const FEW_SOCKETS: usize = 64;
+/// How long the proxy keeps a connection open between two requests.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(6);
 
 #[test]
 fn the_longest_idle_client_is_closed_when_sockets_run_out() {
     let upstream = StubUpstream::start(Behavior::Respond(OK_RESPONSE));
     let mut proxy = ProxyConfig::new(&[upstream.address]).sockets(FEW_SOCKETS).start();
 
+    let began_at = Instant::now();
     let mut clients = Vec::new();
     for _ in 0..100 {
         let mut client = proxy.connect();
@@ -21,6 +24,7 @@
         clients.push(client);
     }
 
+    assert!(began_at.elapsed() < IDLE_TIMEOUT, "no client had to wait for another one's timeout");
     assert!(clients[0].is_closed(), "the longest idle client was closed between requests");
     assert!(proxy.is_running());
 }
--- a/crates/proxy/tests/lifecycle.rs
+++ b/crates/proxy/tests/lifecycle.rs
@@ -52,7 +52,15 @@
     wait_until("the valid file is read", || proxy.has_logged(log_text::CONFIGURATION_RELOADED));
     proxy.reload(&config.discovery(new_discovery.address).text());
 
-    let call = new_discovery.next_call();
+    // The old watch stays alive: its silence must not be what brings the call.
+    let mut call = None;
+    wait_until("the watch is begun at the new address", || {
+        // Fails once the proxy has ended the old watch.
+        let _ = old_watch.try_send_chunk("\n");
+        call = new_discovery.try_next_call();
+        call.is_some()
+    });
+    let call = call.expect("a call");
     assert!(call.target.contains("stream=1") && call.target.contains("index=7"), "{}", call.target);
     assert!(old_discovery.try_next_call().is_none(), "a reload with the same address causes no call");
     drop(old_watch);
--- a/crates/proxy/tests/malformed_requests.rs
+++ b/crates/proxy/tests/malformed_requests.rs
@@ -76,6 +76,27 @@
     assert!(proxy.is_running());
 }
 
+/// The body is valid by its chunks, so that only the second length is at fault: a recipient that trusts the
+/// other one would take the rest of the body for a request.
+#[test]
+fn a_request_with_two_lengths_is_rejected_though_its_chunks_are_valid() {
+    let upstream = StubUpstream::start(Behavior::Respond(OK_RESPONSE));
+    let proxy = ProxyConfig::new(&[upstream.address]).start();
+    let valid = chunked_request(&at_most_once_request(5000, "x"), "x");
+
+    for lengths in [
+        "Content-Length: 1\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 1",
+        "Transfer-Encoding: chunked\r\ncontent-LENGTH: 1",
+    ] {
+        let request = valid.replacen("Transfer-Encoding: chunked", lengths, 1);
+        assert_eq!(proxy.connect().exchange(&request).status(), 400, "{lengths:?}");
+    }
+
+    assert!(upstream.requests().is_empty());
+    assert_eq!(proxy.connect().exchange(&valid).status(), 200);
+}
+
 /// A request whose head has this length.
 fn request_with_head_of(length: usize) -> String {
     let request = idempotent_request(5000);
