Core: the tick and the largest ejected share in files that both sides import

A refactoring: TICK_SECONDS moves to time.rs and MAX_EJECTED_SHARE to a file of its own, so that latency.rs no longer imports balancer.rs, nor weights.rs outlier_detection.rs, in a circle.

--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -16,14 +16,11 @@
 use crate::requests::{RequestTable, RetryBudget};
 use crate::round_robin::RoundRobin;
 use crate::settings::{Settings, SettingsError};
-use crate::time::Timestamp;
+use crate::time::{TICK_SECONDS, Timestamp};
 use crate::upstreams::{Upstream, UpstreamSet, WeightInputs, mean_utilization};
 use crate::watch_schedule::WatchSchedule;
 use std::time::Duration;
 
-/// Time between two ticks: short against every latency objective, long against the cost of one pass over the
-/// upstreams.
-pub(crate) const TICK_SECONDS: f64 = 0.025;
 /// The longest time that one tick accounts for.
 const MAX_TICK_SECONDS: f64 = 1.0;
 /// The timer of the tick.
--- a/crates/core/src/latency.rs
+++ b/crates/core/src/latency.rs
@@ -1,7 +1,7 @@
 //! Latency statistics for each class of requests.
 
 use crate::settings::{RequestClass, Settings};
-use crate::time::Timestamp;
+use crate::time::{TICK_SECONDS, Timestamp};
 
 /// The latency that a class is assumed to have before it is measured, as a share of its objective.
 const INITIAL_SHARE_OF_OBJECTIVE: f64 = 0.3;
@@ -26,7 +26,7 @@
 const QUANTILE_STEP: f64 = 0.05;
 /// The least typical latency: two ticks, as overdue attempts are looked for once per tick. A shorter latency
 /// objective takes its place.
-const MIN_TYPICAL_SECONDS: f64 = 2.0 * crate::balancer::TICK_SECONDS;
+const MIN_TYPICAL_SECONDS: f64 = 2.0 * TICK_SECONDS;
 /// Share of the latency objective after which an attempt is overdue at the latest, so that a hedged request
 /// or a retry still has time.
 const MAX_TYPICAL_SHARE_OF_OBJECTIVE: f64 = 0.6;
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -4,6 +4,10 @@
 use std::ops::{Add, Sub};
 use std::time::Duration;
 
+/// Time between two ticks: short against usual latency objectives, long against the cost of one pass over the
+/// upstreams.
+pub(crate) const TICK_SECONDS: f64 = 0.025;
+
 /// A point on the embedder's clock.
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
 pub(crate) struct Timestamp(f64);
--- a/crates/core/src/upstreams/mod.rs
+++ b/crates/core/src/upstreams/mod.rs
@@ -1,5 +1,6 @@
 //! The upstreams in the endpoint list: what is known of each, and which of them take requests.
 
+mod ejection_limit;
 mod load_reports;
 mod outlier_detection;
 mod process_start;
--- a/crates/core/src/upstreams/outlier_detection.rs
+++ b/crates/core/src/upstreams/outlier_detection.rs
@@ -5,6 +5,7 @@
 use crate::random::Random;
 use crate::time::Timestamp;
 use crate::upstreams::UpstreamSet;
+use crate::upstreams::ejection_limit::MAX_EJECTED_SHARE;
 use crate::upstreams::upstream::OVERDUE_ATTEMPT_EXTRA_LOAD;
 
 /// Consecutive failures after which an upstream is ejected for the class that met them, or for all classes
@@ -29,9 +30,6 @@
 const MAX_EJECTION_DOUBLINGS: u32 = 3;
 /// How often the time between two probe requests of a class doubles at most.
 const MAX_PROBE_DOUBLINGS: u32 = 4;
-/// Share of the upstreams in rotation that may be ejected: when more seem unhealthy, the fault lies
-/// elsewhere.
-pub(crate) const MAX_EJECTED_SHARE: f64 = 0.6;
 
 /// Whether the upstreams' typical response to a class is fast enough to tell an outlier from overload.
 pub(crate) fn is_fast(served_mean: f64, latency_objective: f64) -> bool {
--- a/crates/core/src/upstreams/weights.rs
+++ b/crates/core/src/upstreams/weights.rs
@@ -3,8 +3,8 @@
 use crate::capacity::MIN_UTILIZATION;
 use crate::settings::Settings;
 use crate::time::Timestamp;
+use crate::upstreams::ejection_limit::MAX_EJECTED_SHARE;
 use crate::upstreams::load_reports::mean_utilization;
-use crate::upstreams::outlier_detection::MAX_EJECTED_SHARE;
 use crate::upstreams::{Upstream, UpstreamSet};
 
 /// Cross-zone price at which other zones get no ordinary turns; below it they get turns in proportion.
