Proxy: the lifecycle phase in a file of its own, and a start-up error for each cause

A refactoring: downstream/, lifecycle.rs and startup.rs imported one another in a circle through LifecyclePhase. StartupError::Io stood for three causes; each has a variant and a message now.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -5,7 +5,7 @@
 use crate::downstream::handler::RequestHandler;
 use crate::downstream::request::MAX_REQUEST_HEAD_BYTES;
 use crate::downstream::response::ClientResponse;
-use crate::lifecycle::LifecyclePhase;
+use crate::lifecycle_phase::LifecyclePhase;
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
--- a/crates/proxy/src/downstream/handler.rs
+++ b/crates/proxy/src/downstream/handler.rs
@@ -5,7 +5,7 @@
 use crate::downstream::request::{RequestError, RequestValidator, ValidRequest};
 use crate::downstream::response::{ClientResponse, plain_text, render_error, render_response};
 use crate::driver::Driver;
-use crate::lifecycle::LifecyclePhase;
+use crate::lifecycle_phase::LifecyclePhase;
 use balancer_settings::Site;
 use hyper::body::{Body, Incoming};
 use hyper::{Request, StatusCode};
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -4,7 +4,7 @@
 use crate::downstream::connection::serve_connection;
 use crate::downstream::handler::RequestHandler;
 use crate::driver::Driver;
-use crate::lifecycle::LifecyclePhase;
+use crate::lifecycle_phase::LifecyclePhase;
 use crate::rate_limited_log::RateLimitedLog;
 use balancer_settings::Site;
 use rustc_hash::FxHashMap;
--- a/crates/proxy/src/lifecycle.rs
+++ b/crates/proxy/src/lifecycle.rs
@@ -1,6 +1,7 @@
 //! The life of the process: serves until SIGTERM, then shuts down gracefully within a time budget.
 
 use crate::config::Config;
+use crate::lifecycle_phase::LifecyclePhase;
 use crate::startup::{RunningProxy, StartupError, start};
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -24,19 +25,6 @@
 /// Time to write the final responses of requests that were aborted at the end of the drain.
 const ABORT_GRACE_PERIOD: Duration = Duration::from_millis(200);
 
-/// How far the process is in its life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LifecyclePhase {
-    /// Serving, and ready for new connections.
-    Serving,
-    /// Reports that it is not ready, but still accepts connections and serves requests on them, because the
-    /// balancer that replaces it may have only just started.
-    LameDuck,
-    /// Accepts no new connections but those that already wait in the backlog; open ones end between two
-    /// requests.
-    Draining,
-}
-
 /// How long each step of the graceful shutdown may take.
 #[derive(Debug, PartialEq, Eq)]
 struct ShutdownBudget {
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -8,6 +8,7 @@
 mod driver;
 mod headers;
 mod lifecycle;
+mod lifecycle_phase;
 mod metrics;
 mod rate_limited_log;
 mod reload;
@@ -47,6 +48,7 @@
 
 fn run() -> Result<(), StartupError> {
     let config = Config::from_env()?;
-    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default())?;
+    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
+    let runtime = runtime.map_err(StartupError::Runtime)?;
     runtime.block_on(lifecycle::run(config))
 }
--- a/crates/proxy/src/startup.rs
+++ b/crates/proxy/src/startup.rs
@@ -5,7 +5,7 @@
 use crate::downstream::listener::Listener;
 use crate::downstream::request::can_be_served;
 use crate::driver::Driver;
-use crate::lifecycle::LifecyclePhase;
+use crate::lifecycle_phase::LifecyclePhase;
 use crate::metrics::Metrics;
 use crate::reload::reload_on_hangup;
 use crate::signals::SignalFlag;
@@ -52,9 +52,15 @@
         /// The system's error at the last attempt.
         source: io::Error,
     },
-    /// The runtime, a signal handler or the listener can't be set up.
-    #[error(transparent)]
-    Io(#[from] io::Error),
+    /// The asynchronous runtime can't be set up.
+    #[error("runtime: {0}")]
+    Runtime(#[source] io::Error),
+    /// A signal handler can't be registered.
+    #[error("signal handler: {0}")]
+    Signal(#[source] io::Error),
+    /// The bound socket can't listen.
+    #[error("listen: {0}")]
+    Listen(#[source] io::Error),
 }
 
 /// A proxy that accepts clients.
@@ -76,8 +82,8 @@
     let balancer = Balancer::new(config.site.settings.clone(), config.seed).map_err(InvalidSettings)?;
     // Both handlers are set before anybody can know that this process is ready: unhandled, the signals would
     // kill it.
-    let terminate = SignalFlag::terminate()?;
-    let hangup = SignalFlag::hangup()?;
+    let terminate = SignalFlag::terminate().map_err(StartupError::Signal)?;
+    let hangup = SignalFlag::hangup().map_err(StartupError::Signal)?;
     let socket =
         bind(config.listen).await.map_err(|source| StartupError::Bind { address: config.listen, source })?;
     let metrics = Rc::new(Metrics::default());
@@ -86,8 +92,9 @@
         wait_for_first_list(&driver).await;
     }
     // Clients can't connect earlier than this.
-    let listener = socket.listen(LISTEN_BACKLOG)?;
-    tracing::info!(listen = %listener.local_addr()?, version = driver.list_version(), "serving");
+    let listener = socket.listen(LISTEN_BACKLOG).map_err(StartupError::Listen)?;
+    let address = listener.local_addr().map_err(StartupError::Listen)?;
+    tracing::info!(listen = %address, version = driver.list_version(), "serving");
     spawn_local(async move { metrics.log_changes().await });
     let (phase, phase_receiver) = watch::channel(LifecyclePhase::Serving);
     let clients = Listener::new(Rc::clone(&driver), &config.site, phase_receiver);
