--- a/crates/core/tests/extreme_settings.rs
+++ b/crates/core/tests/extreme_settings.rs
@@ -139,7 +139,11 @@
 }
 
 prop_compose! {
-    fn entry()(id in 1u64..6, weight in number(), started_at in prop::option::of(duration())) -> EndpointEntry {
+    fn entry()(
+        id in 1u64..6,
+        weight in number(),
+        started_at in prop::option::of(duration()),
+    ) -> EndpointEntry {
         EndpointBuilder::new(id).weight(weight).started_at(started_at).build()
     }
 }
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -29,8 +29,8 @@
 /// [`CLOSE_CHECK_INTERVAL`].
 const RESPONSE_WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Size of a connection's buffer. hyper responds to a head that does not fit with 431; what fits may be up to one
-/// read longer. [`RequestValidator`](crate::downstream::request::RequestValidator) has the exact limit.
+/// Size of a connection's buffer. hyper responds to a head that does not fit with 431; what fits may be up
+/// to one read longer. [`RequestValidator`](crate::downstream::request::RequestValidator) has the exact limit.
 const MAX_BUFFER_BYTES: usize = 2 * MAX_REQUEST_HEAD_BYTES;
 
 type HttpConnection<S> = http1::Connection<TokioIo<ClientStream>, S>;
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -134,8 +134,8 @@
         self.metrics.withheld_attempts.inc();
     }
 
-    /// Sends a request and waits for the response until `deadline`, until the requester is gone and the request
-    /// not completely written, or until the process ends.
+    /// Sends a request and waits for the response until `deadline`, until the requester is gone and the
+    /// request not completely written, or until the process ends.
     async fn exchange_unless_interrupted(
         &self,
         connection: &mut Connection,
--- a/crates/proxy/src/upstream/checkout.rs
+++ b/crates/proxy/src/upstream/checkout.rs
@@ -10,8 +10,8 @@
 #[cfg(test)]
 mod tests;
 
-/// The share of the connect timeout that a connect must have had to count against its upstream. The rest of the
-/// timeout has gone to the wait for a slot.
+/// The share of the connect timeout that a connect must have had to count against its upstream. The rest of
+/// the timeout has gone to the wait for a slot.
 const MIN_CONNECT_SHARE: f64 = 0.8;
 
 /// A connection in use by one attempt.
--- a/crates/proxy/src/upstream/interruption.rs
+++ b/crates/proxy/src/upstream/interruption.rs
@@ -21,7 +21,8 @@
 }
 
 impl Interruption {
-    /// An attempt is abandoned once the sender of `abandonment` is dropped, and aborted once `abort` is `true`.
+    /// An attempt is abandoned once the sender of `abandonment` is dropped, and aborted once `abort` is
+    /// `true`.
     pub fn new(abandonment: watch::Receiver<()>, abort: watch::Receiver<bool>) -> Self {
         Self { abandonment, abort }
     }
--- a/crates/proxy/tests/extreme_values.rs
+++ b/crates/proxy/tests/extreme_values.rs
@@ -1,5 +1,5 @@
-//! Values at the edge of their types, in every key of the configuration: a process either refuses to start and
-//! names the key, or it serves, reloads and shuts down.
+//! Values at the edge of their types, in every key of the configuration: a process either refuses to start
+//! and names the key, or it serves, reloads and shuts down.
 //!
 //! CI plays a part of the cases, drawn from a seed. All of them by hand:
 //! `EXTREME_VALUES=all cargo test --release -p balancer-proxy --test extreme_values -- --nocapture`.
--- a/crates/testbed/src/client.rs
+++ b/crates/testbed/src/client.rs
@@ -1,5 +1,6 @@
 //! A client that sends one request after another to a process of the balancer.
 
+use crate::message::Message;
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -10,8 +11,6 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause before the next connection after one has failed.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(5);
-/// The length of a header line without content.
-const EMPTY_LINE_BYTES: usize = 2;
 const STATUS_OK: u16 = 200;
 
 /// How many requests ended in which way.
@@ -127,27 +126,7 @@
 
 /// Reads a response with its body and returns its status.
 fn read_response(reader: &mut impl BufRead) -> io::Result<u16> {
-    let mut status_line = String::new();
-    reader.read_line(&mut status_line)?;
-    let status = status_line.split(' ').nth(1).and_then(|status| status.parse().ok());
-    let status = status.ok_or(io::ErrorKind::UnexpectedEof)?;
-    let length = read_content_length(reader)?;
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body)?;
-    Ok(status)
-}
-
-/// Reads the headers and returns the content length; 0 without one.
-fn read_content_length(reader: &mut impl BufRead) -> io::Result<usize> {
-    let mut length = 0;
-    let mut line = String::new();
-    while reader.read_line(&mut line)? > EMPTY_LINE_BYTES {
-        if let Some((name, value)) = line.split_once(':')
-            && name.eq_ignore_ascii_case("content-length")
-        {
-            length = value.trim().parse().map_err(|_| io::ErrorKind::InvalidData)?;
-        }
-        line.clear();
-    }
-    Ok(length)
+    let response = Message::read(reader)?;
+    let status = response.as_ref().and_then(Message::status);
+    status.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
 }
--- a/crates/testbed/src/servers.rs
+++ b/crates/testbed/src/servers.rs
@@ -1,16 +1,14 @@
 //! Groups of servers. All servers of a group share an address and a state, so that a few listeners stand in
 //! for thousands of servers. Each request is recorded with its group, its id and its time.
 
-use std::io::{self, BufRead, BufReader, Write};
+use crate::message::Message;
+use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Instant;
 
 const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-/// The length of a header line without content.
-const EMPTY_LINE_BYTES: usize = 2;
-const CORRELATION_ID_HEADER: &str = "x-correlation-id";
 
 /// A request that a server has read completely.
 #[derive(Clone, Debug)]
@@ -66,26 +64,10 @@
 fn serve_connection(stream: &TcpStream, group: usize, arrivals: &Mutex<Vec<Arrival>>) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut reader = BufReader::new(stream);
-    while let Some(correlation_id) = read_request(&mut reader)? {
-        let arrival = Arrival { group, correlation_id, at: Instant::now() };
+    while let Some(request) = Message::read(&mut reader)? {
+        let arrival = Arrival { group, correlation_id: request.correlation_id, at: Instant::now() };
         arrivals.lock().unwrap_or_else(PoisonError::into_inner).push(arrival);
         (&mut &*stream).write_all(RESPONSE)?;
     }
     Ok(())
 }
-
-/// Reads a request and returns its correlation id, empty without one; `None` if the connection has ended.
-fn read_request(reader: &mut impl BufRead) -> io::Result<Option<String>> {
-    let mut correlation_id = String::new();
-    let mut line = String::new();
-    while reader.read_line(&mut line)? > EMPTY_LINE_BYTES {
-        if let Some((name, value)) = line.split_once(':')
-            && name.eq_ignore_ascii_case(CORRELATION_ID_HEADER)
-        {
-            correlation_id = value.trim().to_owned();
-        }
-        line.clear();
-    }
-    let has_ended = line.is_empty();
-    Ok((!has_ended).then_some(correlation_id))
-}
--- a/crates/testbed/src/shutdown/mod.rs
+++ b/crates/testbed/src/shutdown/mod.rs
@@ -1,5 +1,5 @@
-//! A soak test of the end of a process: it gets SIGTERM under traffic and SIGKILL at the earliest moment that the
-//! platform allows, while clients go on using the connections that stay open.
+//! A soak test of the end of a process: it gets SIGTERM under traffic and SIGKILL at the earliest moment that
+//! the platform allows, while clients go on using the connections that stay open.
 //!
 //! - `plan`: what a seed draws;
 //! - `upstreams`: upstreams that respond at once, late or never, and record what they got;
