Core: positions of upstreams are a type of their own

A refactoring: UpstreamList holds the upstreams and is indexed by UpstreamPosition in place of a bare usize, so that the turn of the rotation, an index into the subset, can no longer be taken for one.

--- a/crates/core/src/requests/arrival.rs
+++ b/crates/core/src/requests/arrival.rs
@@ -5,6 +5,7 @@
 use crate::ids::{ClassId, RequestId, TenantId};
 use crate::random::Random;
 use crate::requests::Request;
+use crate::upstreams::UpstreamPosition;
 use std::time::Duration;
 
 /// Share of the latency objective after which a response is of no use where late ones earn nothing: the rest
@@ -47,7 +48,7 @@
 
     /// The position of the upstream for a new request of a class: one that is due for a probe, or else the
     /// next one in the rotation.
-    fn choose_upstream(&mut self, class: usize) -> Option<usize> {
+    fn choose_upstream(&mut self, class: usize) -> Option<UpstreamPosition> {
         self.round_robin.drop_unusable_turns(&self.upstreams);
         if let Some(position) = self.upstreams.take_due_probe(self.now, class, &mut self.random) {
             return Some(position);
--- a/crates/core/src/requests/attempt.rs
+++ b/crates/core/src/requests/attempt.rs
@@ -8,7 +8,7 @@
 use crate::requests::retry::{RETRY_COST, RETRY_COST_NOT_EXECUTED};
 use crate::requests::{Attempt, OverdueCheck};
 use crate::settings::RetrySafety;
-use crate::upstreams::{AttemptResult, is_fast};
+use crate::upstreams::{AttemptResult, UpstreamPosition, is_fast};
 use std::time::Duration;
 
 /// Longest remaining time, in seconds, so that it can be converted to a `Duration`.
@@ -44,7 +44,7 @@
 
 impl Balancer {
     /// Sends an attempt of a request to the upstream at a position.
-    pub(crate) fn send_attempt(&mut self, id: RequestId, position: usize) {
+    pub(crate) fn send_attempt(&mut self, id: RequestId, position: UpstreamPosition) {
         let Some(request) = self.requests.get_mut(id) else { return };
         let upstream = self.upstreams.at_mut(position);
         let mut connection_idle_seconds = upstream.idle_seconds(self.now);
--- a/crates/core/src/requests/retry.rs
+++ b/crates/core/src/requests/retry.rs
@@ -4,7 +4,7 @@
 use crate::ids::RequestId;
 use crate::requests::Request;
 use crate::settings::{DeduplicationScope, RetrySafety};
-use crate::upstreams::Upstream;
+use crate::upstreams::{Upstream, UpstreamPosition};
 
 /// What a retry costs, in retries of the budget.
 pub(super) const RETRY_COST: f64 = 1.0;
@@ -90,15 +90,13 @@
 
     /// The least loaded of the first upstreams that may take a retry: the subset from the present turn on,
     /// then the others from a random start.
-    fn retry_upstream(&self, request: &Request, start: usize) -> Option<usize> {
+    fn retry_upstream(&self, request: &Request, start: usize) -> Option<UpstreamPosition> {
         let subset = self.upstreams.subset();
-        let count = self.upstreams.len();
-        let turn = self.round_robin.position();
+        let turn = self.round_robin.turn();
         let subset_from_turn = (1..=subset.len()).map(|step| subset[(turn + step) % subset.len()]);
-        let others_from_random_start = (0..count)
-            .map(|step| (step + start % count) % count)
-            .filter(|position| !self.upstreams.at(*position).in_subset);
-        let load = |position: usize| self.retry_load(self.upstreams.at(position));
+        let others_from_random_start =
+            self.upstreams.positions_from(start).filter(|position| !self.upstreams.at(*position).in_subset);
+        let load = |position: UpstreamPosition| self.retry_load(self.upstreams.at(position));
         subset_from_turn
             .chain(others_from_random_start)
             .filter(|position| self.may_take_retry(request, self.upstreams.at(*position)))
--- a/crates/core/src/round_robin.rs
+++ b/crates/core/src/round_robin.rs
@@ -2,7 +2,7 @@
 //! rotation is skipped.
 
 use crate::time::Timestamp;
-use crate::upstreams::UpstreamSet;
+use crate::upstreams::{UpstreamPosition, UpstreamSet};
 use std::collections::VecDeque;
 
 /// Turns that are compared before one is taken.
@@ -29,7 +29,7 @@
         Self { class, all_are_ejected }
     }
 
-    fn includes(&self, upstreams: &UpstreamSet, position: usize) -> bool {
+    fn includes(&self, upstreams: &UpstreamSet, position: UpstreamPosition) -> bool {
         self.all_are_ejected || !upstreams.at(position).outlier.is_ejected_for(self.class)
     }
 }
@@ -38,21 +38,21 @@
 #[derive(Default)]
 pub(crate) struct RoundRobin {
     /// Index into the subset of the upstream that had the latest turn.
-    position: usize,
+    turn: usize,
     /// Positions of the upstreams that have a turn but have not been sent a request for it.
-    look_ahead: VecDeque<usize>,
+    look_ahead: VecDeque<UpstreamPosition>,
 }
 
 impl RoundRobin {
     /// Starts from the beginning, because the subset has changed.
     pub(crate) fn reset(&mut self) {
-        self.position = 0;
+        self.turn = 0;
         self.look_ahead.clear();
     }
 
     /// Index into the subset of the upstream that had the latest turn.
-    pub(crate) fn position(&self) -> usize {
-        self.position
+    pub(crate) fn turn(&self) -> usize {
+        self.turn
     }
 
     /// Drops the turns of upstreams that no longer take requests.
@@ -71,7 +71,7 @@
         upstreams: &mut UpstreamSet,
         class: usize,
         load_time: Timestamp,
-    ) -> Option<usize> {
+    ) -> Option<UpstreamPosition> {
         let eligibility = Eligibility::new(upstreams, class);
         self.fill_look_ahead(upstreams, &eligibility);
         let least_load = self.least_load(upstreams, &eligibility, load_time);
@@ -118,11 +118,11 @@
 
     /// The next upstream in the rotation that has accumulated a whole turn. An upstream in slow start must
     /// also have budget for a request.
-    fn advance(&mut self, upstreams: &mut UpstreamSet) -> Option<usize> {
+    fn advance(&mut self, upstreams: &mut UpstreamSet) -> Option<UpstreamPosition> {
         let length = upstreams.subset().len();
         for _ in 0..length * MAX_ROUNDS {
-            self.position = (self.position + 1) % length;
-            let position = upstreams.subset()[self.position];
+            self.turn = (self.turn + 1) % length;
+            let position = upstreams.subset()[self.turn];
             let upstream = upstreams.at_mut(position);
             let rotation = &mut upstream.rotation;
             if !rotation.takes_turns() {
--- a/crates/core/src/upstreams/mod.rs
+++ b/crates/core/src/upstreams/mod.rs
@@ -8,10 +8,12 @@
 mod slow_start;
 mod subset;
 mod upstream;
+mod upstream_list;
 mod weights;
 
 pub(crate) use load_reports::mean_utilization;
 pub(crate) use outlier_detection::{AttemptResult, is_fast};
 pub(crate) use set::UpstreamSet;
 pub(crate) use upstream::Upstream;
+pub(crate) use upstream_list::{UpstreamList, UpstreamPosition};
 pub(crate) use weights::WeightInputs;
--- a/crates/core/src/upstreams/outlier_detection.rs
+++ b/crates/core/src/upstreams/outlier_detection.rs
@@ -4,9 +4,9 @@
 use crate::event::Outcome;
 use crate::random::Random;
 use crate::time::Timestamp;
-use crate::upstreams::UpstreamSet;
 use crate::upstreams::ejection_limit::MAX_EJECTED_SHARE;
 use crate::upstreams::upstream::OVERDUE_ATTEMPT_EXTRA_LOAD;
+use crate::upstreams::{UpstreamPosition, UpstreamSet};
 
 /// Consecutive failures after which an upstream is ejected for the class that met them, or for all classes
 /// where none was served meanwhile. Low, because the failed attempts of every balancer add to the queue of a
@@ -207,7 +207,7 @@
     pub(crate) fn detect_outlier(
         &mut self,
         now: Timestamp,
-        position: usize,
+        position: UpstreamPosition,
         result: AttemptResult,
         random: &mut Random,
     ) {
@@ -233,7 +233,7 @@
 
     /// Ejects an unreachable upstream. It comes back in slow start with a random budget: a slow probe by all
     /// balancers.
-    fn eject_for_all_classes(&mut self, now: Timestamp, position: usize, random: &mut Random) {
+    fn eject_for_all_classes(&mut self, now: Timestamp, position: UpstreamPosition, random: &mut Random) {
         let upstream = &mut self.upstreams[position];
         upstream.outlier.eject(now, random);
         let ejected_until = upstream.outlier.ejected_until();
@@ -242,7 +242,7 @@
         self.request_selection(now);
     }
 
-    fn count_failures(&mut self, now: Timestamp, position: usize, result: AttemptResult) {
+    fn count_failures(&mut self, now: Timestamp, position: UpstreamPosition, result: AttemptResult) {
         let upstream = &mut self.upstreams[position];
         if result.outcome == Outcome::Rejected {
             // Rejections are fast: the upstream would otherwise look idle and attract more requests.
@@ -259,7 +259,7 @@
     fn eject_for_failed_classes(
         &mut self,
         now: Timestamp,
-        position: usize,
+        position: UpstreamPosition,
         result: AttemptResult,
         random: &mut Random,
     ) {
@@ -278,7 +278,13 @@
     }
 
     /// Ejects an upstream for a class, unless too many are ejected.
-    fn eject_for_class(&mut self, now: Timestamp, position: usize, class: usize, random: &mut Random) {
+    fn eject_for_class(
+        &mut self,
+        now: Timestamp,
+        position: UpstreamPosition,
+        class: usize,
+        random: &mut Random,
+    ) {
         let already_ejected =
             self.subset_members().filter(|upstream| upstream.outlier.is_ejected_for(class)).count();
         let ejected = (already_ejected + 1) as f64;
@@ -306,12 +312,12 @@
         now: Timestamp,
         class: usize,
         random: &mut Random,
-    ) -> Option<usize> {
+    ) -> Option<UpstreamPosition> {
         if now < self.probe_schedules[class].next_probe_at {
             return None;
         }
         let last_probed_at =
-            |position: &usize| self.upstreams[*position].outlier.classes[class].last_probed_at;
+            |position: &UpstreamPosition| self.upstreams[*position].outlier.classes[class].last_probed_at;
         let position = self
             .subset
             .iter()
@@ -323,7 +329,7 @@
         Some(position)
     }
 
-    fn is_ejected_in_rotation(&self, position: usize, class: usize) -> bool {
+    fn is_ejected_in_rotation(&self, position: UpstreamPosition, class: usize) -> bool {
         let upstream = &self.upstreams[position];
         upstream.outlier.is_ejected_for(class) && upstream.rotation.takes_turns()
     }
--- a/crates/core/src/upstreams/set.rs
+++ b/crates/core/src/upstreams/set.rs
@@ -10,7 +10,7 @@
 use crate::upstreams::process_start::{DepartedStarts, KnownStart, ListPosition};
 use crate::upstreams::slow_start::SlowStart;
 use crate::upstreams::subset::min_subset_size;
-use crate::upstreams::{AttemptResult, Upstream};
+use crate::upstreams::{AttemptResult, Upstream, UpstreamList, UpstreamPosition};
 use rustc_hash::FxHashMap;
 
 /// The weight of an upstream whose listed weight is not positive and finite.
@@ -22,11 +22,10 @@
 /// requests.
 #[derive(Default)]
 pub(crate) struct UpstreamSet {
-    pub(super) upstreams: Vec<Upstream>,
-    /// Positions in `upstreams`.
-    positions: FxHashMap<UpstreamId, usize>,
+    pub(super) upstreams: UpstreamList,
+    positions: FxHashMap<UpstreamId, UpstreamPosition>,
     /// Positions of the members of the subset, in this balancer's own order.
-    pub(super) subset: Vec<usize>,
+    pub(super) subset: Vec<UpstreamPosition>,
     pub(super) min_subset_size: usize,
     /// When the subset has to be selected again.
     pub(super) next_selection_at: Timestamp,
@@ -58,12 +57,12 @@
     }
 
     /// The upstream at a position.
-    pub(crate) fn at(&self, position: usize) -> &Upstream {
+    pub(crate) fn at(&self, position: UpstreamPosition) -> &Upstream {
         &self.upstreams[position]
     }
 
     /// The upstream at a position, to be changed.
-    pub(crate) fn at_mut(&mut self, position: usize) -> &mut Upstream {
+    pub(crate) fn at_mut(&mut self, position: UpstreamPosition) -> &mut Upstream {
         &mut self.upstreams[position]
     }
 
@@ -73,8 +72,13 @@
         Some(&mut self.upstreams[position])
     }
 
+    /// All positions once, from the one that `start` stands for.
+    pub(crate) fn positions_from(&self, start: usize) -> impl Iterator<Item = UpstreamPosition> + use<> {
+        self.upstreams.positions_from(start)
+    }
+
     /// Positions of the members of the subset, in the order of the rotation.
-    pub(crate) fn subset(&self) -> &[usize] {
+    pub(crate) fn subset(&self) -> &[UpstreamPosition] {
         &self.subset
     }
 
@@ -141,7 +145,7 @@
     ) -> bool {
         let is_whole_list = scope != UpdateScope::Delta;
         if is_whole_list {
-            for upstream in &mut self.upstreams {
+            for upstream in self.upstreams.iter_mut() {
                 upstream.availability = Availability::Removed;
             }
         }
@@ -175,7 +179,7 @@
         list_position: ListPosition,
         is_first_list: bool,
         random: &mut Random,
-    ) -> usize {
+    ) -> UpstreamPosition {
         if let Some(&position) = self.positions.get(&entry.id) {
             return position;
         }
@@ -187,8 +191,7 @@
         let slow_start = SlowStart::new(started_at, random.fraction());
         let mut upstream = Upstream::new(entry.id, known_start, slow_start, self.probe_schedules.len());
         upstream.awaits_selection = !is_first_list;
-        let position = self.upstreams.len();
-        self.upstreams.push(upstream);
+        let position = self.upstreams.push(upstream);
         self.positions.insert(entry.id, position);
         position
     }
@@ -209,8 +212,8 @@
             }
             !upstream.is_gone()
         });
-        let ids = self.upstreams.iter().map(|upstream| upstream.id);
-        self.positions = ids.enumerate().map(|(position, id)| (id, position)).collect();
+        let positions = self.upstreams.positions();
+        self.positions = positions.map(|position| (self.upstreams[position].id, position)).collect();
         true
     }
 }
--- a/crates/core/src/upstreams/subset.rs
+++ b/crates/core/src/upstreams/subset.rs
@@ -8,7 +8,7 @@
 use crate::random::Random;
 use crate::settings::Settings;
 use crate::time::Timestamp;
-use crate::upstreams::UpstreamSet;
+use crate::upstreams::{UpstreamPosition, UpstreamSet};
 
 /// Upstreams in a subset for each request per second that the balancer expects.
 const UPSTREAMS_PER_REQUEST_RATE: f64 = 0.7;
@@ -70,7 +70,7 @@
     ) {
         let ready_count = self.upstreams.iter().filter(|upstream| upstream.is_ready()).count();
         let plan = SubsetPlan::new(ready_count, self.min_subset_size, settings);
-        for upstream in &mut self.upstreams {
+        for upstream in self.upstreams.iter_mut() {
             upstream.in_subset &= upstream.is_ready();
         }
         self.next_selection_at = self.end_of_next_ejection(now);
@@ -94,9 +94,10 @@
     }
 
     /// The positions of the ready upstreams, this balancer's part first.
-    fn selection_order(&self, plan: &SubsetPlan) -> Vec<usize> {
-        let mut order: Vec<usize> =
-            (0..self.upstreams.len()).filter(|position| self.upstreams[*position].is_ready()).collect();
+    fn selection_order(&self, plan: &SubsetPlan) -> Vec<UpstreamPosition> {
+        let positions = self.upstreams.positions();
+        let mut order: Vec<UpstreamPosition> =
+            positions.filter(|position| self.upstreams[*position].is_ready()).collect();
         if !plan.takes_all {
             let round_key = plan.round << ROUND_KEY_SHIFT;
             order.sort_by_cached_key(|position| {
@@ -110,7 +111,7 @@
 
     /// Keeps the members that can be used, and takes in the new upstreams of this balancer's part. Returns
     /// the number of members.
-    fn keep_members(&mut self, now: Timestamp, plan: &SubsetPlan, order: &[usize]) -> usize {
+    fn keep_members(&mut self, now: Timestamp, plan: &SubsetPlan, order: &[UpstreamPosition]) -> usize {
         let mut member_count = 0;
         for (rank, position) in order.iter().enumerate() {
             let upstream = &mut self.upstreams[*position];
@@ -128,7 +129,7 @@
         &mut self,
         now: Timestamp,
         plan: &SubsetPlan,
-        order: &[usize],
+        order: &[UpstreamPosition],
         kept_count: usize,
     ) -> usize {
         let mut member_count = kept_count;
@@ -146,7 +147,7 @@
     fn remove_members(
         &mut self,
         plan: &SubsetPlan,
-        order: &[usize],
+        order: &[UpstreamPosition],
         mut member_count: usize,
         actions: &mut Vec<Action>,
     ) {
