Let abandoned attempts decay outside the subset, too

What callers saw (found by reading): an upstream with attempts that were given up, which left the rotation (it drained, or the subset changed) and came back later, counted as loaded by them for seconds more.

Cause: the ticks let abandoned attempts decay for members of the subset only.

Change: those of the others decay when the subset is selected and before a retry chooses, by the time since that was last done.

Evidence: the test added here, two upstreams, one back after three times the latency objective, failed before (no request of 100 for it) and passes now.

--- a/crates/core/src/requests/retry.rs
+++ b/crates/core/src/requests/retry.rs
@@ -72,6 +72,7 @@
         if !self.may_retry(request) || !self.retry_budget.covers(cost) || self.upstreams.len() == 0 {
             return false;
         }
+        self.upstreams.decay_abandoned_outside_subset(self.now, &self.settings);
         let start = self.random.any_usize();
         let Some(position) = self.retry_upstream(request, start) else { return false };
         self.retry_budget.withdraw(cost);
--- a/crates/core/src/upstreams/set.rs
+++ b/crates/core/src/upstreams/set.rs
@@ -32,6 +32,8 @@
     /// By class.
     pub(super) probe_schedules: Vec<ProbeSchedule>,
     departed_starts: DepartedStarts,
+    /// When the abandoned attempts of the upstreams outside the subset were last made to decay.
+    pub(super) outside_decayed_at: Timestamp,
     /// A list has come from discovery.
     has_list_from_discovery: bool,
 }
--- a/crates/core/src/upstreams/subset.rs
+++ b/crates/core/src/upstreams/subset.rs
@@ -68,6 +68,7 @@
         random: &mut Random,
         actions: &mut Vec<Action>,
     ) {
+        self.decay_abandoned_outside_subset(now, settings);
         let ready_count = self.upstreams.iter().filter(|upstream| upstream.is_ready()).count();
         let plan = SubsetPlan::new(ready_count, self.min_subset_size, settings);
         for upstream in self.upstreams.iter_mut() {
--- a/crates/core/src/upstreams/upstream.rs
+++ b/crates/core/src/upstreams/upstream.rs
@@ -25,7 +25,7 @@
     /// Those of them that are overdue.
     pub(crate) overdue_attempts: u32,
     /// Attempts given up that the upstream may still be executing, decaying over the shortest latency
-    /// objective while it is in the subset.
+    /// objective.
     pub(crate) abandoned_attempts: f64,
     /// When an attempt was last sent to it or ended.
     pub(crate) last_used_at: Timestamp,
--- a/crates/core/src/upstreams/weights.rs
+++ b/crates/core/src/upstreams/weights.rs
@@ -113,6 +113,17 @@
         self.refill_slow_start_budgets(inputs);
     }
 
+    /// Lets the abandoned attempts of the upstreams outside the subset decay up to now. The ticks do that for
+    /// the members only.
+    pub(crate) fn decay_abandoned_outside_subset(&mut self, now: Timestamp, settings: &Settings) {
+        let elapsed = now - self.outside_decayed_at;
+        self.outside_decayed_at = now;
+        let factor = (-elapsed / shortest_latency_objective(settings)).exp();
+        for upstream in self.upstreams.iter_mut().filter(|upstream| !upstream.in_subset) {
+            upstream.abandoned_attempts *= factor;
+        }
+    }
+
     fn summarize(&self, inputs: &WeightInputs<'_>) -> SubsetSummary {
         let now = inputs.now;
         let ready = || self.subset_members().filter(|upstream| upstream.is_ready());
--- a/crates/core/tests/cancellation.rs
+++ b/crates/core/tests/cancellation.rs
@@ -243,3 +243,48 @@
         "{cancelled_after_ms}"
     );
 }
+
+/// Leaves a request at this upstream without a response until its attempt is overdue, and its client then.
+fn abandon_an_attempt_at(harness: &mut BalancerHarness, upstream: UpstreamId) {
+    let id = loop {
+        let id = harness.send_request(0, 0, ms(60_000));
+        if harness.upstream_of(id, 0) == Some(upstream) {
+            break id;
+        }
+        harness.end_attempt(id, 0, Outcome::Ok);
+    };
+    harness.advance(ms(200));
+    harness.deliver(Event::ClientDisconnected { id });
+    harness.end_attempt(id, 0, Outcome::Cancelled);
+    // A success in between, so that it is not ejected.
+    harness.play_requests(4, ms(10), |_| Some(Outcome::Ok));
+}
+
+/// What an upstream was still executing when it left the rotation is done by the time it comes back.
+#[test]
+fn an_upstream_that_comes_back_after_a_while_is_not_loaded_by_what_was_abandoned_before() {
+    const OBJECTIVE_MS: u64 = 10_000;
+    const RETURNING: UpstreamId = UpstreamId(1);
+    let class = request_class(OBJECTIVE_MS, 60_000, RetrySafety::AtMostOnce);
+    let settings = settings_without_hedging().classes(vec![class]).quotas(&[1000.0]).build();
+    let mut harness = BalancerHarness::new(settings, &endpoints(2));
+    // Long enough to learn that responses usually come at once.
+    harness.play_requests(2500, ms(10), |_| Some(Outcome::Ok));
+    for _ in 0..3 {
+        abandon_an_attempt_at(&mut harness, RETURNING);
+    }
+    let sent_before = harness.attempts_sent_to(RETURNING);
+    harness.play_requests(20, ms(10), |_| Some(Outcome::Ok));
+    assert_eq!(harness.attempts_sent_to(RETURNING), sent_before, "it counts as loaded");
+
+    let with_availability =
+        |availability| vec![EndpointBuilder::new(RETURNING.0).availability(availability).build()];
+    harness.update_endpoints(UpdateScope::Delta, &with_availability(Availability::Draining));
+    harness.play_requests(300, ms(100), |_| Some(Outcome::Ok));
+    harness.update_endpoints(UpdateScope::Delta, &with_availability(Availability::Ready));
+    let sent_before = harness.attempts_sent_to(RETURNING);
+    harness.play_requests(100, ms(10), |_| Some(Outcome::Ok));
+
+    let sent = harness.attempts_sent_to(RETURNING) - sent_before;
+    assert!(sent > 30, "{sent} of 100 after three times the latency objective");
+}
