Count the delay of a list up to a tenth of slow start

Change: the age by the wall clock counts, up to a tenth of slow start. A step of the clock moves the beginning by that at most: at a floor of 0.17 the stated capacity is then 0.25 at the start, times 0.4 of the overload rate, which stays under the overload.

The tests of wall-clock steps pass as they are, with steps of 3 s to 3,700 s.

--- a/crates/core/src/upstreams/process_start.rs
+++ b/crates/core/src/upstreams/process_start.rs
@@ -2,8 +2,9 @@
 //!
 //! A list may state starts by a wall clock, which can be stepped by seconds or hours at any time. Such a
 //! start is recognized because it differs from the one told before, and slow start is counted on the
-//! embedder's monotonic clock from the list that told it. Only the lists that a new balancer begins with are
-//! an exception: nothing but the wall clock tells it an old start from a recent one.
+//! embedder's monotonic clock from the list that told it, less a small part for the delay of the list. Only
+//! the lists that a new balancer begins with are an exception: nothing but the wall clock tells it an old
+//! start from a recent one.
 
 use crate::event::ProcessStart;
 use crate::ids::UpstreamId;
@@ -13,6 +14,9 @@
 
 /// How many upstreams that are no longer listed are remembered.
 const MAX_DEPARTED: usize = 4096;
+/// The delay of a list, by the wall clock, counts up to this share of slow start. A step of the clock moves
+/// its beginning by no more, which the budget of requests in slow start covers.
+const MAX_DELAY_SHARE: f64 = 0.1;
 
 /// Whether a list tells what has changed while this balancer was following the lists.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -40,6 +44,7 @@
         told: ProcessStart,
         position: ListPosition,
         is_first_list: bool,
+        settings: &Settings,
     ) -> (Self, Option<Timestamp>) {
         let mut known = Self::default();
         let started_at = match told {
@@ -48,7 +53,7 @@
             ProcessStart::At(time) => Some(Timestamp::from_duration(time)),
             ProcessStart::ByWallClock { incarnation, age } => {
                 known.incarnation = Some(incarnation);
-                return (known, Some(wall_clock_start(now, age.as_secs_f64(), position)));
+                return (known, Some(wall_clock_start(now, age.as_secs_f64(), position, settings)));
             }
         };
         known.at = started_at;
@@ -78,7 +83,7 @@
                 if self.incarnation.replace(incarnation) == Some(incarnation) {
                     return None;
                 }
-                wall_clock_start(now, age.as_secs_f64(), position)
+                wall_clock_start(now, age.as_secs_f64(), position, settings)
             }
         };
         (now - started_at < settings.slow_start_duration.as_secs_f64()).then_some(started_at)
@@ -86,10 +91,11 @@
 }
 
 /// When slow start begins for a start told by a wall clock, `age` seconds ago by that clock.
-fn wall_clock_start(now: Timestamp, age: f64, position: ListPosition) -> Timestamp {
+fn wall_clock_start(now: Timestamp, age: f64, position: ListPosition, settings: &Settings) -> Timestamp {
+    let max_delay = MAX_DELAY_SHARE * settings.slow_start_duration.as_secs_f64();
     match position {
         ListPosition::Initial => now + -age,
-        ListPosition::Following => now,
+        ListPosition::Following => now + -age.min(max_delay),
     }
 }
 
--- a/crates/core/src/upstreams/set.rs
+++ b/crates/core/src/upstreams/set.rs
@@ -156,7 +156,8 @@
         let count_before = self.upstreams.len();
         let mut needs_selection = is_whole_list;
         for entry in entries {
-            let position = self.position_or_insert(now, entry, list_position, is_first_list, random);
+            let position =
+                self.position_or_insert(now, entry, list_position, is_first_list, settings, random);
             needs_selection |=
                 self.upstreams[position].apply_entry(now, entry, list_position, settings, random);
         }
@@ -180,13 +181,14 @@
         entry: &EndpointEntry,
         list_position: ListPosition,
         is_first_list: bool,
+        settings: &Settings,
         random: &mut Random,
     ) -> UpstreamPosition {
         if let Some(&position) = self.positions.get(&entry.id) {
             return position;
         }
         let (known_start, mut started_at) =
-            KnownStart::first(now, entry.process_start, list_position, is_first_list);
+            KnownStart::first(now, entry.process_start, list_position, is_first_list, settings);
         if let Some(departed) = self.departed_starts.take_same(entry.id, entry.process_start) {
             started_at = departed.slow_start_began_at;
         }
