--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -14,7 +14,7 @@
 /// Clients that send ordinary requests all the time.
 const ORDINARY_CLIENTS: u64 = 8;
 /// Clients that write slowly. With the ordinary ones they hold fewer than a third of the descriptors.
-const SLOW_CLIENTS: u64 = 40;
+const SLOW_CLIENTS: u64 = 60;
 const BODY_BYTES: usize = 2400;
 const PIECE_BYTES: usize = 16;
 const PIECE_INTERVAL: Duration = Duration::from_millis(10);
