--- a/review/stand_ins.rs
+++ b/review/stand_ins.rs
@@ -6,6 +6,8 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -242,6 +244,7 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
 }
 
 /// Sends a signal to a process that the test has started.
@@ -256,6 +259,18 @@
 /// The processes that the test has started and that may still run.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Makes the system kill the command's process when this one ends, in whatever way it ends.
+fn end_with_this_process(command: &mut Command) {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    // SAFETY: `prctl` takes integers, and may be called between fork and exec.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+            Ok(())
+        });
+    }
+}
+
 /// A balancer that runs as a process of its own.
 pub struct Balancer {
     pub address: SocketAddr,
@@ -278,7 +293,9 @@
         let temporary = folder.join("tmp");
         fs::create_dir(&temporary)?;
         fs::write(&config_path, config)?;
-        let process = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        end_with_this_process(&mut command);
+        let process = command
             .arg("-c")
             .arg(run_command()?)
             .env("NODE_NAME", "n0")
@@ -415,6 +432,7 @@
 
 /// Runs a case and ends the process with its code. A run that takes too long could not run.
 pub fn run_case(case: impl FnOnce() -> io::Result<i32>) -> ! {
+    std::panic::set_hook(Box::new(|panic| report(format_args!("the check failed: {panic}"))));
     open_record();
     spawn(|| {
         sleep(RUN_LIMIT);
@@ -422,7 +440,8 @@
         report("the case could not run: it took too long");
         std::process::exit(COULD_NOT_RUN);
     });
-    let code = case().unwrap_or_else(|error| {
+    let result = catch_unwind(AssertUnwindSafe(case)).unwrap_or_else(|_| Err(io::Error::other("a panic")));
+    let code = result.unwrap_or_else(|error| {
         report(format_args!("the case could not run: {error}"));
         COULD_NOT_RUN
     });
