Copy request bodies, so that small pieces do not keep whole read buffers

What callers saw: where 60 clients wrote a body of 2,400 bytes each in pieces of 16 bytes, the process used over 32 MB within a second and was killed for its memory.

Cause: read_body kept the pieces of a body as hyper returns them until the body was complete. Each piece is a slice of the read buffer, which is freed only with its last slice. hyper therefore took a new buffer of 8 KiB for each read.

Fix: each piece is copied into one buffer for the body and dropped, so hyper uses its read buffer again. A connection holds at most its read buffer and its body. Responses of upstreams were copied already and a head lies in one buffer (both measured); the pieces of endpoint lists are copied, too (read from the code).

--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -6,7 +6,7 @@
 use crate::upstream::OutgoingRequest;
 use balancer_core::{ClassId, RetrySafety, TenantId};
 use balancer_settings::Site;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
@@ -324,13 +324,29 @@
 
 /// Reads a body of at most [`MAX_REQUEST_BODY_BYTES`]. A body that is announced as longer is rejected unread.
 async fn read_body(body: Incoming, read_deadline: Instant) -> Result<Bytes, RequestError> {
-    if body.size_hint().lower() > MAX_REQUEST_BODY_BYTES as u64 {
+    let stated_length = body.size_hint().lower();
+    if stated_length > MAX_REQUEST_BODY_BYTES as u64 {
         return Err(RequestError::BodyTooLong);
     }
-    match timeout_at(read_deadline, Limited::new(body, MAX_REQUEST_BODY_BYTES).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+    let body = Limited::new(body, MAX_REQUEST_BODY_BYTES);
+    match timeout_at(read_deadline, copy_body(body, stated_length as usize)).await {
+        Ok(Ok(body)) => Ok(body),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RequestError::BodyTooLong),
         Ok(Err(_)) => Err(RequestError::IncompleteBody),
         Err(_) => Err(RequestError::BodyTimeout),
     }
 }
+
+/// Copies a body into one buffer, which can hold `stated_length` bytes from the start. The pieces of the body
+/// are not kept: each of them, however short, keeps the whole read buffer that it arrived in.
+async fn copy_body(
+    mut body: Limited<Incoming>,
+    stated_length: usize,
+) -> Result<Bytes, <Limited<Incoming> as Body>::Error> {
+    let mut received = BytesMut::with_capacity(stated_length);
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else { continue };
+        received.extend_from_slice(&data);
+    }
+    Ok(received.freeze())
+}
--- a/crates/proxy/tests/common/config.rs
+++ b/crates/proxy/tests/common/config.rs
@@ -29,6 +29,7 @@
     discovery_mode: DiscoveryMode,
     cached_list: String,
     sockets: usize,
+    memory_mb: u64,
     deadline_ms: u64,
     balancers: u32,
 }
@@ -46,6 +47,7 @@
             discovery_mode: DiscoveryMode::Automatic,
             cached_list: snapshot(1, &endpoints),
             sockets: 256,
+            memory_mb: 192,
             deadline_ms: 8000,
             balancers: 1,
         }
@@ -75,6 +77,12 @@
         self
     }
 
+    /// Sets the memory limit of the proxy, in MiB.
+    pub fn memory_mb(mut self, memory_mb: u64) -> Self {
+        self.memory_mb = memory_mb;
+        self
+    }
+
     /// Sets the latency objective and the deadline of each class, in milliseconds.
     pub fn deadline_ms(mut self, deadline_ms: u64) -> Self {
         self.deadline_ms = deadline_ms;
@@ -89,7 +97,7 @@
 
     /// Returns the content of the configuration file, as JSON.
     pub fn to_json(&self) -> String {
-        let Self { discovery, discovery_mode, cached_list, sockets, balancers, .. } = self;
+        let Self { discovery, discovery_mode, cached_list, sockets, memory_mb, balancers, .. } = self;
         let index = balancers - 1;
         let discovery_mode = discovery_mode.wire_name();
         let classes = [
@@ -100,7 +108,7 @@
         .join(",");
         format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{cached_list},
+            "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{cached_list},
             "settings":{{"balancers":{balancers},"me":{index},"classes":[{classes}],"discovery":"{discovery_mode}",
             "failure_domains":["a","b"],"skus":["m"],"locality":0,
             "limits":{{"conn_idle_ms":60000,"connect_timeout_ms":2000,"try_limit":5,"retry_after":false}},
--- a/crates/proxy/tests/common/process.rs
+++ b/crates/proxy/tests/common/process.rs
@@ -113,6 +113,13 @@
         status
     }
 
+    /// Returns the largest amount of memory, in KiB, that the process has had resident so far.
+    pub fn peak_memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("the peak is listed");
+        peak.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// Returns whether the process has not ended yet.
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
