Read all bytes behind a request, so that a disconnect behind them is noticed

What callers saw: a client sent a payment with 250 KB behind it and closed its connection.

Cause: ClientSocket::disconnected stopped reading once 64 KiB were read ahead, and asked the kernel for the end of the connection. The kernel can't know it while bytes before it are unread.

Evidence: 0.2 s after the close of 250,000 bytes, the proxy's socket was established with 117,787 bytes unread, and the client's in FIN-WAIT-1 with 54,615 bytes not sent; the disconnect was not logged within 1 s. Up to 150,000 bytes it was logged after 0.001 to 0.042 s. So nobody was told, and no attempt ignored what was known.

Fix: all bytes behind a request are read while it awaits its response. The request of a client that stays still gets its response. What has arrived is also read before a request is submitted: a client that had gone while its connection waited for a slot got a first attempt, by the same cause (found with the extended test below).

Tests: a_request_is_not_forwarded_after_its_client_disconnected_even_if_more_follows_it_than_is_buffered fails before, at 250,000 bytes; a_request_is_not_forwarded_if_its_client_disconnected_while_it_waited_for_a_slot now covers up to 2 MB behind the request and fails before at 250,000 bytes (with the first part of the fix alone, at 2,000,000).

--- a/crates/proxy/src/downstream/client.rs
+++ b/crates/proxy/src/downstream/client.rs
@@ -156,7 +156,7 @@
         }
     }
 
-    /// Causes the connection to be closed, to free its slot for another one.
+    /// Causes the connection to be closed: after the response if a request awaits one, and otherwise at once.
     pub fn evict(&self) {
         self.is_evicted.set(true);
         self.eviction.notify_one();
--- a/crates/proxy/src/downstream/client_stream.rs
+++ b/crates/proxy/src/downstream/client_stream.rs
@@ -2,29 +2,33 @@
 
 use crate::downstream::client::{Client, ClientState};
 use crate::downstream::content_length::ContentLengthCounter;
-use crate::downstream::request::MAX_REQUEST_BODY_BYTES;
+use crate::downstream::read_ahead::ReadAhead;
 use crate::socket_io;
-use bytes::BytesMut;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use socket2::SockRef;
 use std::cell::RefCell;
+use std::future::pending;
 use std::io;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 /// Interval at which a connection is checked for a disconnect while no bytes are read ahead from it. It is
 /// short because attempts must stop within 0.1 s of a client's disconnect.
 const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(40);
-/// No more bytes are read ahead once this many are buffered. Equals the maximum length of a request body.
-const MAX_READ_AHEAD_BYTES: usize = MAX_REQUEST_BODY_BYTES;
-/// Maximum number of bytes that one read adds to the read-ahead buffer.
-const READ_AHEAD_CHUNK_BYTES: usize = 4096;
+/// Maximum number of bytes that one call reads ahead.
+const READ_AHEAD_CHUNK_BYTES: usize = 16 * 1024;
+/// Maximum number of bytes that are read ahead before other tasks get a turn.
+const READ_AHEAD_BYTES_PER_TURN: usize = 1024 * 1024;
+/// Maximum number of turns in which bytes are read ahead before a request is submitted. Together they exceed
+/// the 4 MiB that the kernel may hold for a client that has already gone.
+const MAX_TURNS_BEFORE_SUBMISSION: usize = 8;
 
 /// A client's socket, with the bytes that were read ahead from it and the count of its `Content-Length`
 /// headers.
@@ -32,8 +36,7 @@
     stream: TcpStream,
     client: Rc<Client>,
     content_lengths: RefCell<ContentLengthCounter>,
-    /// Bytes after the current request that were read from the socket and that hyper has not read yet.
-    read_ahead: RefCell<BytesMut>,
+    read_ahead: RefCell<ReadAhead>,
 }
 
 impl ClientSocket {
@@ -43,7 +46,7 @@
             stream,
             client,
             content_lengths: RefCell::new(ContentLengthCounter::new()),
-            read_ahead: RefCell::default(),
+            read_ahead: RefCell::new(ReadAhead::new()),
         }
     }
 
@@ -57,40 +60,67 @@
     }
 
     /// Waits until the client disconnects while a request awaits its response. hyper does not notice a
-    /// disconnect if unread bytes follow the request, so they are read ahead here.
+    /// disconnect if unread bytes follow the request, and neither does the kernel, so all bytes are read
+    /// ahead here.
     pub async fn disconnected(&self) {
-        let mut chunk = [0; READ_AHEAD_CHUNK_BYTES];
         loop {
-            let Ok(ready) = self.stream.ready(Interest::READABLE).await else { return };
-            let is_awaiting_response = self.client.state() == ClientState::AwaitingResponse;
-            let has_capacity = self.read_ahead.borrow().len() < MAX_READ_AHEAD_BYTES;
-            if is_awaiting_response && has_capacity {
-                if self.try_read_ahead(&mut chunk) == StreamState::Closed {
-                    return;
-                }
-            } else if is_awaiting_response && ready.is_read_closed() {
+            if self.stream.readable().await.is_err() {
                 return;
-            } else {
-                // Either hyper reads the bytes itself, or the read-ahead buffer is full.
+            }
+            if !self.is_reading_ahead() {
+                // hyper reads the bytes itself.
                 sleep(DISCONNECT_CHECK_INTERVAL).await;
+                continue;
+            }
+            match self.read_ahead() {
+                ReadAheadEnd::Disconnected => return,
+                ReadAheadEnd::NoMoreBytes => {}
+                ReadAheadEnd::TurnOver => yield_now().await,
             }
         }
     }
 
-    /// Moves received bytes to the read-ahead buffer, at most as many as `chunk` holds. Returns whether the
-    /// client may send more.
-    fn try_read_ahead(&self, chunk: &mut [u8]) -> StreamState {
-        match self.stream.try_read(chunk) {
-            Ok(0) => StreamState::Closed,
-            Ok(length) => {
-                self.read_ahead.borrow_mut().extend_from_slice(&chunk[..length]);
-                StreamState::Open
+    /// Reads ahead the bytes that have arrived behind a request. Has to be called before the request is
+    /// submitted, because its client may have gone while the connection waited to be served, and no attempt
+    /// must start then. If the client has gone, this method does not return, and [`Self::disconnected`] does.
+    pub async fn read_ahead_before_submission(&self) {
+        for _ in 0..MAX_TURNS_BEFORE_SUBMISSION {
+            match self.read_ahead() {
+                ReadAheadEnd::Disconnected => pending().await,
+                ReadAheadEnd::NoMoreBytes => return,
+                ReadAheadEnd::TurnOver => yield_now().await,
             }
-            Err(error) if socket_io::is_retryable(&error) => StreamState::Open,
-            Err(_) => StreamState::Closed,
         }
     }
 
+    /// Returns whether hyper leaves the received bytes to [`Self::disconnected`].
+    fn is_reading_ahead(&self) -> bool {
+        self.client.state() == ClientState::AwaitingResponse || self.read_ahead.borrow().is_discarded()
+    }
+
+    /// Reads received bytes ahead, at most [`READ_AHEAD_BYTES_PER_TURN`]. If bytes had to be discarded, the
+    /// connection is closed after the response.
+    fn read_ahead(&self) -> ReadAheadEnd {
+        let mut chunk = [0; READ_AHEAD_CHUNK_BYTES];
+        let mut read_ahead = self.read_ahead.borrow_mut();
+        for _ in 0..READ_AHEAD_BYTES_PER_TURN / READ_AHEAD_CHUNK_BYTES {
+            match self.stream.try_read(&mut chunk) {
+                Ok(0) => return ReadAheadEnd::Disconnected,
+                Ok(length) => {
+                    let was_discarded = read_ahead.is_discarded();
+                    read_ahead.push(&chunk[..length]);
+                    if read_ahead.is_discarded() && !was_discarded {
+                        self.client.evict();
+                    }
+                }
+                Err(error) if socket_io::is_interrupted(&error) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return ReadAheadEnd::NoMoreBytes,
+                Err(_) => return ReadAheadEnd::Disconnected,
+            }
+        }
+        ReadAheadEnd::TurnOver
+    }
+
     /// Records the arrival of bytes that are passed to hyper, and counts `Content-Length` headers in them.
     fn on_bytes_received(&self, bytes: &[u8]) {
         if bytes.is_empty() {
@@ -101,11 +131,14 @@
     }
 }
 
-/// Whether more bytes may arrive on a connection.
-#[derive(PartialEq, Eq)]
-enum StreamState {
-    Open,
-    Closed,
+/// Why [`ClientSocket::read_ahead`] ended.
+enum ReadAheadEnd {
+    /// The client has closed the connection, or the connection has failed.
+    Disconnected,
+    /// All bytes that have arrived are read.
+    NoMoreBytes,
+    /// More bytes may have arrived, but other tasks have to get a turn.
+    TurnOver,
 }
 
 /// The stream through which hyper reads from and writes to a client's socket.
@@ -114,14 +147,16 @@
 impl AsyncRead for ClientStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let socket = &self.0;
-        let mut read_ahead = socket.read_ahead.borrow_mut();
-        if !read_ahead.is_empty() {
-            let length = read_ahead.len().min(buf.remaining());
-            let bytes = read_ahead.split_to(length);
+        let bytes = socket.read_ahead.borrow_mut().take(buf.remaining());
+        if !bytes.is_empty() {
             buf.put_slice(&bytes);
             socket.on_bytes_received(&bytes);
             return Poll::Ready(Ok(()));
         }
+        if socket.read_ahead.borrow().is_discarded() {
+            // Ends only with the connection, which is closed after the response.
+            return Poll::Pending;
+        }
         let length = ready!(socket_io::poll_read(&socket.stream, cx, buf))?;
         let filled = buf.filled();
         socket.on_bytes_received(&filled[filled.len() - length..]);
--- a/crates/proxy/src/downstream/handler.rs
+++ b/crates/proxy/src/downstream/handler.rs
@@ -87,6 +87,7 @@
     ) -> Result<ClientResponse, RequestError> {
         let request = self.read_request(socket, request, read_deadline).await?;
         client.on_request_received();
+        socket.read_ahead_before_submission().await;
         let ValidRequest { incoming, correlation_id: _reserved_id } = request;
         Ok(render_response(self.driver.submit(incoming).response().await))
     }
--- a/crates/proxy/src/downstream/listener/tests.rs
+++ b/crates/proxy/src/downstream/listener/tests.rs
@@ -133,24 +133,28 @@
 
 #[tokio::test(flavor = "local")]
 async fn a_request_is_not_forwarded_if_its_client_disconnected_while_it_waited_for_a_slot() {
-    let upstreams = [bind_upstream().await];
-    let mut proxy = TestProxy::serving("book", "at_most_once", &upstreams);
-    proxy.max_connections = 1;
-    let proxy = proxy.start().await;
-    let send =
-        async |correlation_id| proxy.send("POST /book", correlation_id, "Content-Length: 0\r\n\r\n").await;
-    let first = send("first").await;
-    let (mut attempt, _) = upstreams[0].accept().await.unwrap();
-    assert!(attempt.read(&mut [0; 1024]).await.unwrap() > 0);
-    drop(send("leaves").await);
-    let _stays = send("stays").await;
+    for trailing_bytes in [0, 1, 60 * 1024, 250_000, 2_000_000] {
+        let upstreams = [bind_upstream().await];
+        let mut proxy = TestProxy::serving("book", "at_most_once", &upstreams);
+        proxy.max_connections = 1;
+        let proxy = proxy.start().await;
+        let send = async |correlation_id, trailing_bytes| {
+            let rest = format!("Content-Length: 0\r\n\r\n{}", "x".repeat(trailing_bytes));
+            proxy.send("POST /book", correlation_id, &rest).await
+        };
+        let first = send("first", 0).await;
+        let (mut attempt, _) = upstreams[0].accept().await.unwrap();
+        assert!(attempt.read(&mut [0; 1024]).await.unwrap() > 0);
+        drop(send("leaves", trailing_bytes).await);
+        let _stays = send("stays", 0).await;
 
-    // After its response, the first client is evicted. The next request reuses the upstream connection.
-    attempt.write_all(OK_RESPONSE).await.unwrap();
-    let next = read_text(&mut attempt).await;
+        // After its response, the first client is evicted. The next request reuses the upstream connection.
+        attempt.write_all(OK_RESPONSE).await.unwrap();
+        let next = read_text(&mut attempt).await;
 
-    drop(first);
-    assert!(next.contains("stays"), "{next:?}");
+        drop(first);
+        assert!(next.contains("stays"), "{trailing_bytes} bytes follow the request: {next:?}");
+    }
 }
 
 /// No attempt, neither the first one nor a retry, starts for a client that has disconnected, even if bytes
@@ -160,39 +164,110 @@
     for (is_draining, trailing_bytes) in
         [(false, 1), (true, 0), (true, 1), (false, 60 * 1024), (true, 60 * 1024)]
     {
-        let upstreams = [bind_upstream().await, bind_upstream().await];
+        assert_not_forwarded_after_disconnect(is_draining, trailing_bytes).await;
+    }
+}
+
+/// Guards against attempts for a client that has sent more than the proxy and the kernel buffer and has gone:
+/// the end of its connection was never read.
+#[tokio::test(flavor = "local")]
+async fn a_request_is_not_forwarded_after_its_client_disconnected_even_if_more_follows_it_than_is_buffered() {
+    for (is_draining, trailing_bytes) in
+        [(false, 250_000), (true, 250_000), (false, 2_000_000), (true, 2_000_000)]
+    {
+        assert_not_forwarded_after_disconnect(is_draining, trailing_bytes).await;
+    }
+}
+
+/// Lets clients disconnect after they have sent a request and `trailing_bytes` more bytes, while the proxy
+/// drains or serves. Panics if an attempt starts for any of them afterwards.
+async fn assert_not_forwarded_after_disconnect(is_draining: bool, trailing_bytes: usize) {
+    let upstreams = [bind_upstream().await, bind_upstream().await];
+    let proxy = TestProxy::serving("look", "idempotent", &upstreams).start().await;
+    let rest = format!("\r\n{}", "x".repeat(trailing_bytes));
+    let send = async |correlation_id| proxy.send("GET /look", correlation_id, &rest).await;
+    let accept_attempt = async || {
+        tokio::select! {
+            stream = upstreams[0].accept() => stream.unwrap().0,
+            stream = upstreams[1].accept() => stream.unwrap().0,
+        }
+    };
+    // One client disconnects after its first attempt was sent, another one right after its request.
+    let first_client = send("first").await;
+    let mut first_attempt = accept_attempt().await;
+    let mut received = [0; 1024];
+    assert!(first_attempt.read(&mut received).await.unwrap() > 0);
+    if is_draining {
+        proxy.drain();
+        yield_now().await;
+    } else {
+        drop(send("second").await);
+    }
+    drop(first_client);
+    sleep(Duration::from_millis(100)).await;
+
+    // The response to the first attempt permits a retry.
+    first_attempt.write_all(NOT_EXECUTED_RESPONSE).await.unwrap();
+
+    let retry = timeout(Duration::from_millis(200), accept_attempt()).await;
+    let reused = timeout(Duration::from_millis(10), first_attempt.read(&mut received)).await;
+    assert!(
+        retry.is_err() && !matches!(reused, Ok(Ok(1..))),
+        "draining: {is_draining}, {trailing_bytes} bytes follow the request"
+    );
+}
+
+/// A client that sends more behind a request than is kept, and stays, still gets the response. Its connection
+/// ends then, because the bytes in between are lost.
+#[tokio::test(flavor = "local")]
+async fn a_request_is_answered_even_if_more_follows_it_than_is_buffered() {
+    for trailing_bytes in [250_000, 2_000_000] {
+        let upstreams = [bind_upstream().await];
         let proxy = TestProxy::serving("look", "idempotent", &upstreams).start().await;
         let rest = format!("\r\n{}", "x".repeat(trailing_bytes));
-        let send = async |correlation_id| proxy.send("GET /look", correlation_id, &rest).await;
-        let accept_attempt = async || {
-            tokio::select! {
-                stream = upstreams[0].accept() => stream.unwrap().0,
-                stream = upstreams[1].accept() => stream.unwrap().0,
-            }
-        };
-        // One client disconnects after its first attempt was sent, another one right after its request.
-        let first_client = send("first").await;
-        let mut first_attempt = accept_attempt().await;
-        let mut received = [0; 1024];
-        assert!(first_attempt.read(&mut received).await.unwrap() > 0);
-        if is_draining {
-            proxy.drain();
-            yield_now().await;
-        } else {
-            drop(send("second").await);
-        }
-        drop(first_client);
+        let mut client = proxy.send("GET /look", "stays", &rest).await;
+        let (mut attempt, _) = upstreams[0].accept().await.unwrap();
+        assert!(read_text(&mut attempt).await.contains("stays"));
+        // The proxy reads the trailing bytes meanwhile.
         sleep(Duration::from_millis(100)).await;
 
-        // The response to the first attempt permits a retry.
-        first_attempt.write_all(NOT_EXECUTED_RESPONSE).await.unwrap();
+        attempt.write_all(OK_RESPONSE).await.unwrap();
 
-        let retry = timeout(Duration::from_millis(200), accept_attempt()).await;
-        let reused = timeout(Duration::from_millis(10), first_attempt.read(&mut received)).await;
-        assert!(
-            retry.is_err() && !matches!(reused, Ok(Ok(1..))),
-            "draining: {is_draining}, {trailing_bytes} bytes follow the request"
-        );
+        let mut response = Vec::new();
+        client.read_to_end(&mut response).await.expect("the connection ends without a reset");
+        let response = String::from_utf8_lossy(&response);
+        assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
+        assert_eq!(response.matches("HTTP/1.1").count(), 1, "{response:?}");
+    }
+}
+
+/// Requests that a client sends before the response to an earlier one are served in turn, as long as they fit
+/// into the read-ahead.
+#[tokio::test(flavor = "local")]
+async fn requests_that_follow_a_request_are_served_in_turn() {
+    let upstreams = [bind_upstream().await];
+    let proxy = TestProxy::serving("look", "idempotent", &upstreams).start().await;
+    let following = |number| {
+        format!(
+            "GET /look HTTP/1.1\r\nHost: app.svc\r\nX-Account: acme\r\nX-Time-Left-Ms: 60000\r\n\
+             X-Correlation-Id: following-{number}\r\n\r\n"
+        )
+    };
+    let rest = format!("\r\n{}", (0..200).map(following).collect::<String>());
+    let mut client = proxy.send("GET /look", "first", &rest).await;
+
+    let (mut attempt, _) = upstreams[0].accept().await.unwrap();
+    assert!(read_text(&mut attempt).await.contains("first"));
+    for number in 0..200 {
+        attempt.write_all(OK_RESPONSE).await.unwrap();
+        let request = read_text(&mut attempt).await;
+        assert!(request.contains(&format!("following-{number}\r\n")), "{request:?}");
+    }
+    attempt.write_all(OK_RESPONSE).await.unwrap();
+
+    let mut responses = String::new();
+    while responses.matches("HTTP/1.1 200").count() < 201 {
+        responses += &read_text(&mut client).await;
     }
 }
 
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -8,5 +8,6 @@
 mod correlation_ids;
 mod handler;
 pub mod listener;
+mod read_ahead;
 pub mod request;
 mod response;
