Compute the length of a request head in one place

The downstream side (limit of a head) and the upstream side (bytes of a request) each added up a head in the same way. Both now call head_length. Each keeps its own length for a missing target (0 and 1), so no result changes.

--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -2,6 +2,7 @@
 
 use crate::downstream::correlation_ids::{CorrelationIds, ReservedId};
 use crate::driver::IncomingRequest;
+use crate::head_length::head_length;
 use crate::headers::{self, CLIENT_RETRY, CORRELATION_ID, EXPECTED_WORK, IDEMPOTENCY_KEY, TENANT, TIME_LEFT};
 use crate::upstream::OutgoingRequest;
 use balancer_core::{ClassId, RetrySafety, TenantId};
@@ -205,10 +206,11 @@
     /// Validates a request head. Does not detect [`RequestError::ConflictingLengths`], because hyper removes
     /// `Content-Length` from such a head; `ClientSocket::has_conflicting_lengths` does.
     pub fn validate_head(&self, parts: Parts) -> Result<RequestHead, RequestError> {
-        if head_length_bytes(&parts) > MAX_REQUEST_HEAD_BYTES {
+        let headers = &parts.headers;
+        let target_length = parts.uri.path_and_query().map_or(0, |target| target.as_str().len());
+        if head_length(&parts.method, target_length, headers) > MAX_REQUEST_HEAD_BYTES {
             return Err(RequestError::HeadTooLong);
         }
-        let headers = &parts.headers;
         if headers.get_all(HOST).iter().count() != 1 {
             return Err(RequestError::MissingOrRepeatedHost);
         }
@@ -270,17 +272,6 @@
     }
 }
 
-/// Returns the length of a head in bytes. hyper does not keep the original spacing, so a single space is
-/// counted after the colon of each header.
-fn head_length_bytes(parts: &Parts) -> usize {
-    let target_length = parts.uri.path_and_query().map_or(0, |target| target.as_str().len());
-    let request_line_length = parts.method.as_str().len() + " ".len() + target_length + " HTTP/1.1\r\n".len();
-    let header_length =
-        |(name, value): (&HeaderName, &HeaderValue)| name.as_str().len() + ": \r\n".len() + value.len();
-    let headers_length: usize = parts.headers.iter().map(header_length).sum();
-    request_line_length + headers_length + "\r\n".len()
-}
-
 /// Returns the value of `X-Correlation-Id`.
 fn correlation_id(headers: &HeaderMap) -> Result<HeaderValue, RequestError> {
     let id = single_value(headers, &CORRELATION_ID)?;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -6,6 +6,7 @@
 mod discovery;
 mod downstream;
 mod driver;
+mod head_length;
 mod headers;
 mod lifecycle;
 mod lifecycle_phase;
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -1,6 +1,7 @@
 //! An outgoing HTTP/1.1 connection, to an upstream or to discovery, that counts the bytes accepted by the
 //! kernel.
 
+use crate::head_length::head_length;
 use crate::socket_io;
 use crate::upstream::counting_stream::CountingStream;
 use bytes::Bytes;
@@ -91,13 +92,7 @@
 /// Returns the number of bytes that hyper writes for the request line, headers and body of a request. The
 /// number is exact only if the request sets its own `Content-Length` or needs none, so that hyper adds none.
 pub fn wire_length(request: &Request<Full<Bytes>>) -> u64 {
-    let path = request.uri().path_and_query().map_or(1, |path| path.as_str().len());
-    let request_line = request.method().as_str().len() + " ".len() + path + " HTTP/1.1\r\n".len();
-    let headers: usize = request
-        .headers()
-        .iter()
-        .map(|(name, value)| name.as_str().len() + ": ".len() + value.len() + "\r\n".len())
-        .sum();
-    let head = request_line + headers + "\r\n".len();
-    head as u64 + request.body().size_hint().exact().unwrap_or(0)
+    let target_length = request.uri().path_and_query().map_or(1, |target| target.as_str().len());
+    let head_length = head_length(request.method(), target_length, request.headers());
+    head_length as u64 + request.body().size_hint().exact().unwrap_or(0)
 }
