--- a/crates/proxy/src/downstream/client_stream.rs
+++ b/crates/proxy/src/downstream/client_stream.rs
@@ -22,8 +22,8 @@
 /// Interval at which a connection is checked for a disconnect while no bytes are read ahead from it. It is
 /// short because attempts must stop within 0.1 s of a client's disconnect.
 const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(40);
-/// Maximum number of bytes that one call reads ahead.
-const READ_AHEAD_CHUNK_BYTES: usize = 16 * 1024;
+/// Maximum number of bytes that one call reads. The buffer for them is initialized for each request.
+const READ_AHEAD_CHUNK_BYTES: usize = 4096;
 /// Maximum number of bytes that are read ahead before other tasks get a turn.
 const READ_AHEAD_BYTES_PER_TURN: usize = 1024 * 1024;
 /// Maximum number of turns in which bytes are read ahead before a request is submitted. Together they exceed
