--- a/crates/proxy/src/downstream/client_stream.rs
+++ b/crates/proxy/src/downstream/client_stream.rs
@@ -27,7 +27,7 @@
 /// Maximum number of bytes that are read ahead before other tasks get a turn.
 const READ_AHEAD_BYTES_PER_TURN: usize = 1024 * 1024;
 /// Maximum number of turns in which bytes are read ahead before a request is submitted. Together they exceed
-/// the 4 MiB that the kernel may hold for a client that has already gone.
+/// the 4 MiB that the socket of a client that has gone may hold unsent, with the default limits of Linux.
 const MAX_TURNS_BEFORE_SUBMISSION: usize = 8;
 
 /// A client's socket, with the bytes that were read ahead from it and the count of its `Content-Length`
--- a/crates/proxy/src/downstream/listener/tests.rs
+++ b/crates/proxy/src/downstream/listener/tests.rs
@@ -131,6 +131,8 @@
     proxy.accept_loop.await.unwrap();
 }
 
+/// Guards against a first attempt for a client that had gone before its connection was served: the request was
+/// submitted before the bytes behind it, and so the end of the connection, were read.
 #[tokio::test(flavor = "local")]
 async fn a_request_is_not_forwarded_if_its_client_disconnected_while_it_waited_for_a_slot() {
     for trailing_bytes in [0, 1, 60 * 1024, 250_000, 2_000_000] {
