--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -367,6 +367,8 @@
     pub child: Child,
     pub address: SocketAddr,
     pub name: String,
+    discovery: SocketAddr,
+    config_path: PathBuf,
 }
 
 /// What a balancer is started with.
@@ -409,7 +411,7 @@
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()?;
-        Ok(Self { child, address, name: options.name.to_owned() })
+        Ok(Self { child, address, name: options.name.to_owned(), discovery: options.discovery, config_path })
     }
 
     /// Waits until `GET /health/ready` answers 200.
@@ -434,6 +436,18 @@
         !matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Replaces the configuration file by one that names another discovery, and sends SIGHUP.
+    pub fn move_discovery(&mut self, address: SocketAddr) -> io::Result<()> {
+        let text = std::fs::read_to_string(&self.config_path)?;
+        let old = format!("\"discovery\":\"{}\"", self.discovery);
+        let new_path = self.config_path.with_extension("new");
+        std::fs::write(&new_path, text.replacen(&old, &format!("\"discovery\":\"{address}\""), 1))?;
+        std::fs::rename(&new_path, &self.config_path)?;
+        self.discovery = address;
+        self.signal("HUP");
+        Ok(())
+    }
+
     /// Sends a signal by its name, such as `TERM`.
     pub fn signal(&self, name: &str) {
         let _ = Command::new("/bin/sh").args(["-c", &format!("kill -s {name} {}", self.child.id())]).status();
