--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -7,6 +7,7 @@
 use std::fs::File;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitCode, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -421,7 +422,10 @@
         let config_path = paths.temporary.join(format!("{}.json", options.name));
         std::fs::write(&config_path, config)?;
         let log = File::create(paths.temporary.join(format!("{}.log", options.name)))?;
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        // A check that is itself ended in the middle leaves no balancer behind.
+        unsafe { command.pre_exec(|| end_with_parent()) };
+        let child = command
             .args(["-c", &paths.deploy_command("run")])
             .current_dir(&paths.root)
             .env("NODE_NAME", options.name)
@@ -477,6 +481,18 @@
     }
 }
 
+unsafe extern "C" {
+    fn prctl(option: i32, argument: usize, ...) -> i32;
+}
+
+/// Lets the system kill this process when its parent ends (`PR_SET_PDEATHSIG` with `SIGKILL`).
+fn end_with_parent() -> io::Result<()> {
+    match unsafe { prctl(1, 9) } {
+        0 => Ok(()),
+        _ => Err(io::Error::last_os_error()),
+    }
+}
+
 impl Drop for Balancer {
     fn drop(&mut self) {
         let _ = self.child.kill();
