Keep the read buffers of connections at 8 KiB

Cause: hyper doubles the read buffer of a connection, up to 64 KiB, when a read returns as much as it asked for, and keeps it. poll_read passed on all that the kernel had, and filled the free part of the buffer with zeros, so that all of it became resident.

Mend: a read returns at most 8,191 bytes, so that the buffer does not grow, and nothing is filled with zeros.

--- a/crates/proxy/src/downstream/client_stream.rs
+++ b/crates/proxy/src/downstream/client_stream.rs
@@ -3,7 +3,7 @@
 use crate::downstream::client::{Client, ClientState};
 use crate::downstream::content_length::ContentLengthCounter;
 use crate::downstream::read_ahead::ReadAhead;
-use crate::socket_io;
+use crate::socket_io::{self, MAX_READ_BYTES};
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use socket2::SockRef;
 use std::cell::RefCell;
@@ -147,7 +147,8 @@
 impl AsyncRead for ClientStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let socket = &self.0;
-        let bytes = socket.read_ahead.borrow_mut().take(buf.remaining());
+        let max_bytes = buf.remaining().min(MAX_READ_BYTES);
+        let bytes = socket.read_ahead.borrow_mut().take(max_bytes);
         if !bytes.is_empty() {
             buf.put_slice(&bytes);
             socket.on_bytes_received(&bytes);
--- a/crates/proxy/src/socket_io.rs
+++ b/crates/proxy/src/socket_io.rs
@@ -3,6 +3,7 @@
 //! An interrupted call is repeated. A partial read or write does not clear the stream's readiness: the stream
 //! counts as ready until the kernel reports `WouldBlock`.
 
+use bytes::BufMut;
 use std::io;
 use std::net::SocketAddr;
 use std::task::{Context, Poll, ready};
@@ -10,6 +11,11 @@
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
 
+/// Maximum number of bytes that one read passes to hyper. hyper doubles the read buffer of a connection, from
+/// 8 KiB up to the maximum size of its buffers, whenever a read returns as much as it asked for. A read that
+/// returns less leaves the buffer as it is.
+pub const MAX_READ_BYTES: usize = 8 * 1024 - 1;
+
 /// Returns whether a call failed because a signal interrupted it, so that it has to be repeated at once.
 pub fn is_interrupted(error: &io::Error) -> bool {
     error.kind() == io::ErrorKind::Interrupted
@@ -30,8 +36,8 @@
     }
 }
 
-/// Reads available bytes into `buffer` and returns their number, which is 0 at the end of the stream. Fails
-/// if the connection has broken.
+/// Reads at most [`MAX_READ_BYTES`] available bytes into `buffer` and returns their number, which is 0 at the
+/// end of the stream. Fails if the connection has broken.
 pub fn poll_read(
     stream: &TcpStream,
     context: &mut Context<'_>,
@@ -39,13 +45,9 @@
 ) -> Poll<io::Result<usize>> {
     loop {
         ready!(stream.poll_read_ready(context))?;
-        match stream.try_read(buffer.initialize_unfilled()) {
-            Ok(length) => {
-                buffer.advance(length);
-                return Poll::Ready(Ok(length));
-            }
+        match stream.try_read_buf(&mut BufMut::limit(&mut *buffer, MAX_READ_BYTES)) {
             Err(e) if is_retryable(&e) => {}
-            Err(e) => return Poll::Ready(Err(e)),
+            read => return Poll::Ready(read),
         }
     }
 }
--- a/crates/proxy/tests/common/upstream.rs
+++ b/crates/proxy/tests/common/upstream.rs
@@ -5,12 +5,21 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// The reaction of an upstream to each request.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Behavior {
     /// The upstream sends this response and keeps the connection open.
     Respond(&'static str),
+    /// The upstream sends a response with status 200 and a body of `body_bytes` bytes after `delay`, and keeps
+    /// the connection open.
+    RespondAfter {
+        /// The time between the request and the response.
+        delay: Duration,
+        /// The length of the body.
+        body_bytes: usize,
+    },
     /// The upstream sends this response and closes the connection, without announcing that in a header.
     RespondAndClose(&'static str),
     /// The upstream closes the connection without a response.
@@ -86,6 +95,12 @@
 fn handle_request(mut stream: &TcpStream, behavior: Behavior) -> bool {
     match behavior {
         Behavior::Respond(response) => stream.write_all(response.as_bytes()).is_ok(),
+        Behavior::RespondAfter { delay, body_bytes } => {
+            std::thread::sleep(delay);
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {body_bytes}\r\n\r\n");
+            let response = head + &"a".repeat(body_bytes);
+            stream.write_all(response.as_bytes()).is_ok()
+        }
         Behavior::RespondAndClose(response) => {
             // The connection is closed even if the response cannot be sent.
             let _ = stream.write_all(response.as_bytes());
--- a/crates/proxy/tests/memory.rs
+++ b/crates/proxy/tests/memory.rs
@@ -11,9 +11,24 @@
 const SLOW_CLIENTS: usize = 60;
 const PIECES: usize = 120;
 const PIECE_BYTES: usize = 16;
+/// The payload of a TCP segment on most networks.
+const CHUNK_BYTES: usize = 1460;
 /// Time between two pieces, in which the proxy reads the first one.
 const PIECE_INTERVAL: Duration = Duration::from_millis(5);
 
+/// The longest body that the platform allows.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+/// The fewest sockets that a deployment allows.
+const MIN_SOCKETS: usize = 256;
+/// How many clients of a deployment with [`MIN_SOCKETS`] may send a request at the same time.
+const REQUESTING_CLIENTS: usize = MIN_SOCKETS / 3;
+/// With the requesting clients, as many as the proxy accepts at a time.
+const STALLED_CLIENTS: usize = 43;
+/// How many requests each client sends, one after the other.
+const ROUNDS: usize = 3;
+/// How long an upstream works on a request, so that all requests are in flight at the same time.
+const UPSTREAM_DELAY: Duration = Duration::from_millis(400);
+
 /// A request whose body is written in many pieces.
 struct SlowRequest {
     head: String,
@@ -70,3 +85,44 @@
         assert!(peak_kib < MEMORY_LIMIT_MB * KIB_PER_MIB, "{peak_kib} KiB");
     }
 }
+
+/// Guards against a process that is killed for its memory: the read buffer of each connection grew to 64 KiB,
+/// beside the bodies that it held.
+#[test]
+fn clients_that_stop_in_a_large_request_leave_the_process_within_its_memory_limit() {
+    let behavior = Behavior::RespondAfter { delay: UPSTREAM_DELAY, body_bytes: MAX_BODY_BYTES };
+    let upstream = StubUpstream::start(behavior);
+    let config = ProxyConfig::new(&[upstream.address]).sockets(MIN_SOCKETS);
+    let proxy = config.memory_mb(MEMORY_LIMIT_MB).start();
+    let mut stalled_clients: Vec<_> = (0..STALLED_CLIENTS).map(|_| proxy.connect()).collect();
+    let mut requesting_clients: Vec<_> = (0..REQUESTING_CLIENTS).map(|_| proxy.connect()).collect();
+
+    for (number, client) in stalled_clients.iter_mut().enumerate() {
+        client.send(&unfinished_request(&format!("{number:08x}")));
+    }
+    for round in 0..ROUNDS {
+        for (number, client) in requesting_clients.iter_mut().enumerate() {
+            let request = at_most_once_request(8000, &"x".repeat(MAX_BODY_BYTES));
+            client.send(&request.replacen("9b1f03aa", &format!("a{round}{number:06x}"), 1));
+        }
+        for client in &mut requesting_clients {
+            let response = client.response().expect("the proxy sends a response");
+            assert_eq!(response.status(), 200);
+            assert_eq!(response.body.len(), MAX_BODY_BYTES);
+        }
+    }
+    for client in &mut stalled_clients {
+        assert_eq!(client.response().expect("the proxy sends a response").status(), 408);
+    }
+
+    let peak_kib = proxy.peak_memory_kib();
+    assert!(peak_kib < MEMORY_LIMIT_MB * KIB_PER_MIB, "{peak_kib} KiB");
+}
+
+/// Returns a chunked request of nearly the longest body, without its last chunk.
+fn unfinished_request(correlation_id: &str) -> String {
+    let request = at_most_once_request(8000, "").replacen("9b1f03aa", correlation_id, 1);
+    let head = request.replacen("Content-Length: 0", "Transfer-Encoding: chunked", 1);
+    let chunk = format!("{CHUNK_BYTES:x}\r\n{}\r\n", "c".repeat(CHUNK_BYTES));
+    head + &chunk.repeat(MAX_BODY_BYTES / CHUNK_BYTES)
+}
