Keep the id of a request reserved after its client has left

Callers saw: a payment ran twice when a client closed its connection before the response and the same id came again on another connection, 0 to 1.5 s after the close.

Cause: the reservation of the id ended with the task of the connection. The attempt of a request that is completely written runs on after its client has left, but the check of ids no longer knew the request.

Mend: the id is released at the final response.

The new test in forwarding.rs failed before: the upstream got the second request while it was executing the first.

--- a/crates/proxy/src/downstream/handler.rs
+++ b/crates/proxy/src/downstream/handler.rs
@@ -105,8 +105,10 @@
         }
         let request = request?;
         socket.read_ahead_before_submission().await;
-        let ValidRequest { incoming, correlation_id: _reserved_id, head_memory: _head_memory } = request;
-        Ok(render_response(self.driver.submit(incoming).response().await))
+        let ValidRequest { incoming, correlation_id, head_memory: _head_memory } = request;
+        let response = self.driver.submit(incoming).response().await;
+        correlation_id.release();
+        Ok(render_response(response))
     }
 
     /// Reads and validates a request, its body included.
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -201,7 +201,7 @@
 pub struct ValidRequest {
     /// The request for the driver.
     pub incoming: IncomingRequest,
-    /// The reservation of the request's correlation id. Has to be kept until the final response.
+    /// The reservation of the request's correlation id. Has to be released at the final response.
     pub correlation_id: ReservedId,
     /// The memory reserved for the head. Has to be kept until the final response.
     pub head_memory: Option<Reservation>,
@@ -306,10 +306,8 @@
         if head.method == Method::GET && !body.content.is_empty() {
             return Err(RequestError::UnexpectedBody);
         }
-        let correlation_id = self
-            .correlation_ids
-            .reserve(head.correlation_id.clone())
-            .ok_or(RequestError::DuplicateCorrelationId)?;
+        let correlation_id =
+            self.correlation_ids.reserve(&head.correlation_id).ok_or(RequestError::DuplicateCorrelationId)?;
         Ok(ValidRequest { incoming: head.into_incoming(body), correlation_id, head_memory })
     }
 
--- a/crates/proxy/tests/forwarding.rs
+++ b/crates/proxy/tests/forwarding.rs
@@ -165,3 +165,24 @@
     // The id may be used again after the first request has ended. The response may have any status but 409.
     assert_ne!(proxy.connect().exchange(&at_most_once_request(1000, "x")).status(), 409);
 }
+
+/// Guards against a request that is executed twice: the id of a request was free again as soon as its client had
+/// left, while an upstream was executing it or had executed it.
+#[test]
+fn a_request_is_not_forwarded_again_under_its_id_after_its_client_has_left() {
+    let upstream = StubUpstream::start(Behavior::NeverRespond);
+    let proxy = ProxyConfig::new(&[upstream.address]).start();
+    let request = at_most_once_request(500, "x");
+    let mut first_client = proxy.connect();
+    first_client.send(&request);
+    wait_until("the upstream has the request", || upstream.requests().len() == 1);
+    drop(first_client);
+
+    let during_the_attempt = proxy.connect().exchange(&request);
+    wait_until("the attempt has ended", || upstream.closed_connections() == 1);
+    let after_the_attempt = proxy.connect().exchange(&request);
+
+    assert_eq!(during_the_attempt.status(), 409);
+    assert_eq!(after_the_attempt.status(), 409);
+    assert_eq!(upstream.requests().len(), 1);
+}
