Notice received bytes after at most eight tasks

Callers saw: while one client sent small invalid requests or health checks on one connection at full speed, responses to others were late, by up to 0.06 s on a quarter of a core.

Cause: hyper answers up to 16 pipelined requests in a turn and queues the task again, and the runtime asks the kernel which sockets are ready only after 61 tasks (tokio's default) while a task is queued.

Mend: the runtime asks the kernel after at most 8 tasks. The rest of the delay is the wait for a turn on the shared core.

--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -16,6 +16,7 @@
 mod rate_limited_log;
 mod reload;
 mod reserved_buffer;
+mod runtime;
 mod signals;
 mod socket_io;
 mod startup;
@@ -24,7 +25,6 @@
 use config::Config;
 use startup::StartupError;
 use std::process::ExitCode;
-use tokio::runtime::{Builder, LocalOptions};
 use tracing::level_filters::LevelFilter;
 
 /// The environment variable that sets the log level. The level is `info` if the variable is missing or
@@ -53,7 +53,6 @@
 
 fn run() -> Result<(), StartupError> {
     let config = Config::from_env()?;
-    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
-    let runtime = runtime.map_err(StartupError::Runtime)?;
+    let runtime = runtime::build().map_err(StartupError::Runtime)?;
     runtime.block_on(lifecycle::run(config))
 }
