Split errors and bodies of client requests out of request.rs

The reasons for rejecting a request are now in request_error.rs, and reading a body in request_body.rs. Whether a head is small is decided in one place (compact_head.rs) in place of three.

--- a/crates/proxy/src/compact_head.rs
+++ b/crates/proxy/src/compact_head.rs
@@ -3,6 +3,7 @@
 //! hyper returns header values and the request target as slices of the connection's read buffer. As long as
 //! one of them is referenced, the whole buffer stays allocated, and hyper reads into another one.
 
+use crate::head_length::headers_length;
 use bytes::{Bytes, BytesMut};
 use hyper::Uri;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -11,7 +12,7 @@
 #[cfg(test)]
 mod tests;
 
-/// Maximum length of a head that fits into the initial buffers of a connection, which hyper never shrinks.
+/// Maximum length of the headers of a head that fits into the initial buffers of a connection, which hyper never shrinks.
 pub const SMALL_HEAD_BYTES: usize = 8 * 1024;
 /// Maximum number of headers in a small head. hyper keeps the allocation of a header map for the next message.
 const SMALL_HEAD_HEADERS: usize = 32;
@@ -21,10 +22,10 @@
 /// room in that buffer, which grows by doubling.
 const HEAD_COPIES: usize = 3;
 
-/// Returns whether the buffers of a connection keep their initial size when they carry a head of `length`
-/// bytes with these headers.
-pub fn is_small(length: usize, headers: &HeaderMap) -> bool {
-    length <= SMALL_HEAD_BYTES && headers.len() <= SMALL_HEAD_HEADERS
+/// Returns whether the buffers of a connection keep their initial size when they carry a head with these
+/// headers.
+pub fn is_small(headers: &HeaderMap) -> bool {
+    headers_length(headers) <= SMALL_HEAD_BYTES && headers.len() <= SMALL_HEAD_HEADERS
 }
 
 /// Returns an estimate of the memory, in bytes, that a request head of `length` bytes occupies until the
--- a/crates/proxy/src/compact_head/tests.rs
+++ b/crates/proxy/src/compact_head/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use hyper::header::{ACCEPT, COOKIE};
+use hyper::header::{ACCEPT, COOKIE, HeaderName};
 
 #[test]
 fn a_copy_of_headers_has_their_names_values_and_order() {
@@ -45,15 +45,16 @@
 #[test]
 fn a_head_is_small_up_to_a_length_and_a_number_of_headers() {
     let with_headers = |count: usize| -> HeaderMap {
-        (0..count)
-            .map(|n| {
-                let name = hyper::header::HeaderName::from_bytes(format!("x-{n}").as_bytes()).unwrap();
-                (name, HeaderValue::from_static("v"))
-            })
-            .collect()
+        let name = |number| HeaderName::from_bytes(format!("x-{number}").as_bytes()).unwrap();
+        (0..count).map(|number| (name(number), HeaderValue::from_static("v"))).collect()
+    };
+    let with_length = |length: usize| -> HeaderMap {
+        let value = "v".repeat(length - "x-0: \r\n".len());
+        HeaderMap::from_iter([(HeaderName::from_static("x-0"), HeaderValue::from_str(&value).unwrap())])
     };
 
-    assert!(is_small(SMALL_HEAD_BYTES, &with_headers(SMALL_HEAD_HEADERS)));
-    assert!(!is_small(SMALL_HEAD_BYTES + 1, &with_headers(1)));
-    assert!(!is_small(100, &with_headers(SMALL_HEAD_HEADERS + 1)));
+    assert!(is_small(&with_headers(SMALL_HEAD_HEADERS)));
+    assert!(!is_small(&with_headers(SMALL_HEAD_HEADERS + 1)));
+    assert!(is_small(&with_length(SMALL_HEAD_BYTES)));
+    assert!(!is_small(&with_length(SMALL_HEAD_BYTES + 1)));
 }
--- a/crates/proxy/src/downstream/handler.rs
+++ b/crates/proxy/src/downstream/handler.rs
@@ -3,10 +3,10 @@
 use crate::compact_head;
 use crate::downstream::client::Client;
 use crate::downstream::client_stream::ClientSocket;
-use crate::downstream::request::{RequestError, RequestValidator, ValidRequest};
+use crate::downstream::request::{RequestValidator, ValidRequest};
+use crate::downstream::request_error::RequestError;
 use crate::downstream::response::{ClientResponse, plain_text, render_error, render_response};
 use crate::driver::Driver;
-use crate::head_length::headers_length;
 use crate::lifecycle_phase::LifecyclePhase;
 use crate::memory_budget::MemoryBudget;
 use balancer_settings::Site;
@@ -75,7 +75,7 @@
             }
             None => self.forward(client, socket, request, read_deadline).await.unwrap_or_else(render_error),
         };
-        if has_large_head || !compact_head::is_small(headers_length(response.headers()), response.headers()) {
+        if has_large_head || !compact_head::is_small(response.headers()) {
             // The buffers of the connection have grown. They are freed with the connection.
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -12,4 +12,6 @@
 mod read_ahead;
 mod rejection;
 pub mod request;
+mod request_body;
+mod request_error;
 mod response;
--- a/crates/proxy/src/downstream/read_ahead.rs
+++ b/crates/proxy/src/downstream/read_ahead.rs
@@ -3,7 +3,7 @@
 #[cfg(test)]
 mod tests;
 
-use crate::downstream::request::MAX_REQUEST_BODY_BYTES;
+use crate::downstream::request_body::MAX_REQUEST_BODY_BYTES;
 use crate::memory_budget::{MemoryBudget, Reservation};
 use crate::reserved_buffer::UNRESERVED_BYTES;
 use bytes::{Bytes, BytesMut};
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -3,23 +3,22 @@
 use crate::compact_head;
 use crate::downstream::client::Client;
 use crate::downstream::correlation_ids::{CorrelationIds, ReservedId};
+use crate::downstream::request_body::{MAX_REQUEST_BODY_BYTES, ReceivedBody, copy_body, discard};
+use crate::downstream::request_error::RequestError;
 use crate::driver::IncomingRequest;
 use crate::head_length::head_length;
 use crate::headers::{self, CLIENT_RETRY, CORRELATION_ID, EXPECTED_WORK, IDEMPOTENCY_KEY, TENANT, TIME_LEFT};
-use crate::memory_budget::{BudgetExhausted, MemoryBudget, Reservation};
-use crate::reserved_buffer::{ExpectedLength, ReservedBuffer};
+use crate::memory_budget::{MemoryBudget, Reservation};
 use crate::upstream::OutgoingRequest;
 use balancer_core::{ClassId, RetrySafety, TenantId};
 use balancer_settings::Site;
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::Limited;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{Method, StatusCode, Uri};
+use hyper::{Method, Uri};
 use rustc_hash::FxHashMap;
 use std::time::Duration;
-use thiserror::Error;
 use tokio::time::{Instant, timeout_at};
 
 #[cfg(test)]
@@ -28,8 +27,6 @@
 /// Maximum length of a request head, which consists of the request line, the headers and the empty line after
 /// them.
 pub const MAX_REQUEST_HEAD_BYTES: usize = 32 * 1024;
-/// Maximum length of a request body.
-pub const MAX_REQUEST_BODY_BYTES: usize = 64 * 1024;
 /// Subtracted from the time that a client has left. Covers the transfer of the request and of the response,
 /// and the resolution of the timers.
 const TRANSFER_ALLOWANCE: Duration = Duration::from_millis(4);
@@ -43,98 +40,6 @@
     deadline > TRANSFER_ALLOWANCE
 }
 
-/// The reason for rejecting a request before it reaches the balancer. The error message is the body of the
-/// response.
-#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
-pub enum RequestError {
-    /// The head has both `Content-Length` and `Transfer-Encoding`. If the proxy and the upstream used
-    /// different ones, a second request could be smuggled in the body of the first.
-    #[error("Content-Length beside Transfer-Encoding")]
-    ConflictingLengths,
-    /// The head is longer than [`MAX_REQUEST_HEAD_BYTES`].
-    #[error("the head is too long")]
-    HeadTooLong,
-    /// The `Host` header is missing or occurs several times.
-    #[error("not one Host")]
-    MissingOrRepeatedHost,
-    /// The first segment of the path is not the name of a request class in the settings.
-    #[error("unknown class")]
-    UnknownClass,
-    /// The method differs from the only one that the request class accepts.
-    #[error("the class has another method")]
-    MethodNotAllowed,
-    /// A header that may occur only once is repeated. The proxy and the upstream might disagree on which of its
-    /// values counts.
-    #[error("a header twice that may stand once")]
-    RepeatedHeader,
-    /// `X-Correlation-Id` is missing, empty or not printable ASCII text.
-    #[error("no readable X-Correlation-Id")]
-    InvalidCorrelationId,
-    /// The class deduplicates requests by `Idempotency-Key`, and that header is missing.
-    #[error("no Idempotency-Key")]
-    MissingIdempotencyKey,
-    /// The settings list tenants, and `X-Account` is missing or names none of them.
-    #[error("unknown account")]
-    UnknownTenant,
-    /// `X-Time-Left-Ms` is missing or not an unsigned 64-bit integer, written in digits only.
-    #[error("no readable X-Time-Left-Ms")]
-    InvalidTimeLeft,
-    /// `X-Weight-Hint` is not a finite number, or is negative.
-    #[error("unreadable X-Weight-Hint")]
-    InvalidExpectedWork,
-    /// The body is longer than [`MAX_REQUEST_BODY_BYTES`].
-    #[error("the body is too long")]
-    BodyTooLong,
-    /// Reading the body failed before its end, for example because the client closed the connection.
-    #[error("the body broke off")]
-    IncompleteBody,
-    /// The body was not complete by the read deadline.
-    #[error("the body did not come in time")]
-    BodyTimeout,
-    /// A GET request has a body.
-    #[error("a GET with a body")]
-    UnexpectedBody,
-    /// Another request in flight has the same correlation id. An upstream would mistake one for a retry of
-    /// the other.
-    #[error("a request with this id is open")]
-    DuplicateCorrelationId,
-    /// The budget for requests cannot hold the request. It was not forwarded, and the client can safely send
-    /// it again.
-    #[error("out of memory")]
-    OutOfMemory,
-}
-
-impl From<BudgetExhausted> for RequestError {
-    fn from(_: BudgetExhausted) -> Self {
-        Self::OutOfMemory
-    }
-}
-
-impl RequestError {
-    /// Returns the status of the response.
-    pub fn status(self) -> StatusCode {
-        match self {
-            Self::UnknownClass => StatusCode::NOT_FOUND,
-            Self::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
-            Self::UnknownTenant => StatusCode::FORBIDDEN,
-            Self::HeadTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            Self::DuplicateCorrelationId => StatusCode::CONFLICT,
-            Self::OutOfMemory => StatusCode::SERVICE_UNAVAILABLE,
-            Self::ConflictingLengths
-            | Self::MissingOrRepeatedHost
-            | Self::RepeatedHeader
-            | Self::InvalidCorrelationId
-            | Self::MissingIdempotencyKey
-            | Self::InvalidTimeLeft
-            | Self::InvalidExpectedWork
-            | Self::IncompleteBody
-            | Self::UnexpectedBody => StatusCode::BAD_REQUEST,
-        }
-    }
-}
-
 /// The properties of a request class that the validation depends on.
 struct Class {
     id: ClassId,
@@ -207,13 +112,6 @@
     pub head_memory: Option<Reservation>,
 }
 
-/// A complete request body.
-struct ReceivedBody {
-    content: Bytes,
-    /// How long reading the request was interrupted because the budget for requests was exhausted.
-    waited_for_memory: Duration,
-}
-
 /// Validates requests against the classes and tenants of the settings.
 pub struct RequestValidator {
     classes: FxHashMap<String, Class>,
@@ -387,39 +285,3 @@
     }
     Ok(first)
 }
-
-/// Copies a body into one buffer. The pieces of the body are not kept: each of them, however short, keeps the
-/// whole read buffer that it arrived in.
-async fn copy_body(
-    body: &mut Limited<Incoming>,
-    memory: &MemoryBudget,
-    client: &Client,
-) -> Result<ReceivedBody, RequestError> {
-    let expected = ExpectedLength::of_body(body, MAX_REQUEST_BODY_BYTES);
-    let mut received = ReservedBuffer::new(memory, expected);
-    while let Some(data) = next_data(body).await? {
-        client.wait_for_memory(received.extend_from_slice(&data)).await?;
-    }
-    let waited_for_memory = received.waited();
-    Ok(ReceivedBody { content: received.freeze(), waited_for_memory })
-}
-
-/// Reads a body to its end without keeping it.
-async fn discard(body: &mut Limited<Incoming>) -> Result<(), RequestError> {
-    while next_data(body).await?.is_some() {}
-    Ok(())
-}
-
-/// Returns the next piece of a body, or `None` at its end.
-async fn next_data(body: &mut Limited<Incoming>) -> Result<Option<Bytes>, RequestError> {
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| match error.is::<LengthLimitError>() {
-            true => RequestError::BodyTooLong,
-            false => RequestError::IncompleteBody,
-        })?;
-        if let Ok(data) = frame.into_data() {
-            return Ok(Some(data));
-        }
-    }
-    Ok(None)
-}
--- a/crates/proxy/src/downstream/response.rs
+++ b/crates/proxy/src/downstream/response.rs
@@ -1,6 +1,6 @@
 //! Builds the HTTP responses that are sent to clients.
 
-use crate::downstream::request::RequestError;
+use crate::downstream::request_error::RequestError;
 use crate::driver::FinalResponse;
 use bytes::Bytes;
 use http_body_util::Full;
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -5,7 +5,6 @@
 //! attempt ended, or if the response says so.
 
 use crate::compact_head;
-use crate::head_length::headers_length;
 use crate::headers::{self, NOT_EXECUTED};
 use crate::upstream::connection::Connection;
 use crate::upstream::exchange::{ExchangeError, exchange};
@@ -113,7 +112,7 @@
             return Some(Outcome::NotSent.into());
         }
         let request = request.to_http(time_left);
-        let has_small_request_head = has_small_head(request.headers());
+        let has_small_request_head = compact_head::is_small(request.headers());
         let progress = RequestProgress::new(&checked_out.connection, &request);
         let connection = &mut checked_out.connection;
         match self.exchange_unless_interrupted(connection, request, &progress, deadline, interruption).await {
@@ -121,7 +120,10 @@
                 // If the response arrived before the whole request was written, the connection cannot be
                 // reused: the rest of this request would be written ahead of the next one. The buffers of a
                 // connection that has carried a large head are freed with the connection.
-                if progress.is_complete() && has_small_request_head && has_small_head(response.headers()) {
+                if progress.is_complete()
+                    && has_small_request_head
+                    && compact_head::is_small(response.headers())
+                {
                     self.check_in(id, upstream, checked_out);
                 }
                 Some(self.result_of_response(response))
@@ -191,10 +193,6 @@
     }
 }
 
-fn has_small_head(headers: &HeaderMap) -> bool {
-    compact_head::is_small(headers_length(headers), headers)
-}
-
 fn outcome_of_response(status: StatusCode, headers: &HeaderMap) -> Outcome {
     let not_executed = headers.get(NOT_EXECUTED).is_some_and(|value| value.as_bytes() == b"1");
     match status {
