Count and log rejections and evictions for lack of memory

Operators could not tell a request that was rejected for lack of memory from other rejections. Two counters and a warning at a limited rate show rejections and evicted clients.

--- a/crates/proxy/src/downstream/handler.rs
+++ b/crates/proxy/src/downstream/handler.rs
@@ -103,6 +103,9 @@
         if matches!(request, Ok(_) | Err(RequestError::OutOfMemory)) {
             client.on_request_received();
         }
+        if matches!(request, Err(RequestError::OutOfMemory)) {
+            self.driver.metrics().requests_out_of_memory.inc();
+        }
         let request = request?;
         socket.read_ahead_before_submission().await;
         let ValidRequest { incoming, correlation_id, head_memory: _head_memory } = request;
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -48,7 +48,9 @@
     clients: RefCell<FxHashMap<u64, Rc<Client>>>,
     next_client_id: Cell<u64>,
     memory: MemoryBudgets,
-    log: RateLimitedLog,
+    driver: Rc<Driver>,
+    accept_log: RateLimitedLog,
+    eviction_log: RateLimitedLog,
 }
 
 impl Listener {
@@ -61,12 +63,19 @@
         memory: MemoryBudgets,
     ) -> Rc<Self> {
         Rc::new(Self {
-            handler: Rc::new(RequestHandler::new(driver, site, phase.clone(), memory.requests.clone())),
+            handler: Rc::new(RequestHandler::new(
+                Rc::clone(&driver),
+                site,
+                phase.clone(),
+                memory.requests.clone(),
+            )),
             phase,
             clients: RefCell::default(),
             next_client_id: Cell::new(0),
             memory,
-            log: RateLimitedLog::default(),
+            driver,
+            accept_log: RateLimitedLog::default(),
+            eviction_log: RateLimitedLog::default(),
         })
     }
 
@@ -99,7 +108,7 @@
             let stream = match accepted {
                 Ok((stream, _)) => stream,
                 Err(error) => {
-                    self.log.warn(
+                    self.accept_log.warn(
                         |skipped| tracing::warn!(skipped, %error, "failed to accept a client connection"),
                     );
                     sleep(ACCEPT_ERROR_BACKOFF).await;
@@ -181,6 +190,13 @@
             holders.sort_by_key(|(since, _)| *since);
             for (_, client) in holders.iter().take(budget.waiting()) {
                 client.evict_at_once();
+                self.driver.metrics().clients_evicted_for_memory.inc();
+            }
+            if !holders.is_empty() {
+                let waiting = budget.waiting();
+                self.eviction_log.warn(|skipped| {
+                    tracing::warn!(skipped, waiting, "memory is short; evicting clients that hold it")
+                });
             }
             sleep(MEMORY_EVICTION_INTERVAL).await;
         }
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -116,6 +116,11 @@
         self.discovery.first_list_progress()
     }
 
+    /// Returns the metrics of the process.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// Returns the version of the endpoint list in use, or 0 if there is none.
     pub fn endpoint_list_version(&self) -> u64 {
         self.discovery.version()
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -100,6 +100,10 @@
     /// Attempts and health checks that were not sent because the upstream stopped being ready while they
     /// waited for a connection.
     pub withheld_attempts: Counter,
+    /// Requests that were rejected without reaching the balancer, because there was no memory for them.
+    pub requests_out_of_memory: Counter,
+    /// Client connections that were closed because they held memory needlessly while others waited for it.
+    pub clients_evicted_for_memory: Counter,
     /// Calls to discovery that were started, successful or not.
     pub discovery_calls: Counter,
     /// Calls to discovery that failed or were given up before the head of their response arrived.
@@ -124,6 +128,8 @@
             requests: Counter::default(),
             retries_and_hedges: Counter::default(),
             withheld_attempts: Counter::default(),
+            requests_out_of_memory: Counter::default(),
+            clients_evicted_for_memory: Counter::default(),
             discovery_calls: Counter::default(),
             discovery_calls_failed: Counter::default(),
             watches_ended: Counter::default(),
@@ -149,6 +155,16 @@
                 "Attempts and health checks withheld from an upstream that stopped being ready",
                 &self.withheld_attempts,
             ),
+            (
+                "requests_out_of_memory",
+                "Requests rejected because there was no memory for them",
+                &self.requests_out_of_memory,
+            ),
+            (
+                "clients_evicted_for_memory",
+                "Client connections closed to release memory",
+                &self.clients_evicted_for_memory,
+            ),
             ("discovery_calls", "Calls to discovery", &self.discovery_calls),
             ("discovery_calls_failed", "Calls to discovery that failed", &self.discovery_calls_failed),
             ("watches_ended", "Watches that discovery ended or that failed", &self.watches_ended),
