Do not end the process on a copied head or a failed reservation

A connection that read again after the reservation for its head had failed would have polled a finished future, which panics and ends the process. Copying the target and the headers of a request relied on `expect`, although clients choose both.

Mend: the reservation's future is dropped when it ends, and what is not accepted a second time is shared instead of copied. The extended test of the head memory failed before with the panic; the test of the targets covers all their forms (it replaces the one of a single form) and passed with the code before.

--- a/crates/proxy/src/compact_head.rs
+++ b/crates/proxy/src/compact_head.rs
@@ -34,23 +34,23 @@
     headers.len() * BYTES_PER_HEADER + length * HEAD_COPIES
 }
 
-/// Returns a copy of the headers that shares no memory with them.
+/// Returns a copy of the headers that shares no memory with them. A value that is not accepted a second time
+/// is shared.
 pub fn copy_headers(headers: &HeaderMap) -> HeaderMap {
     let mut storage = BytesMut::with_capacity(headers.values().map(HeaderValue::len).sum());
     let mut copy = HeaderMap::with_capacity(headers.len());
     for (name, value) in headers {
         storage.extend_from_slice(value.as_bytes());
-        let value = HeaderValue::from_maybe_shared(storage.split().freeze());
-        copy.append(name, value.expect("the copy of a header value is a header value"));
+        let value_copy = HeaderValue::from_maybe_shared(storage.split().freeze());
+        copy.append(name, value_copy.unwrap_or_else(|_| value.clone()));
     }
     copy
 }
 
-/// Returns a copy of the path and query of a URI that shares no memory with it.
+/// Returns a copy of the path and query of a URI that shares no memory with it. A path and query that is not
+/// accepted a second time is shared.
 pub fn copy_target(uri: &Uri) -> Uri {
-    let copy = uri.path_and_query().map(|target| {
-        let copy = Bytes::copy_from_slice(target.as_str().as_bytes());
-        PathAndQuery::from_maybe_shared(copy).expect("the copy of a path and query is one")
-    });
-    copy.map(Uri::from).unwrap_or_default()
+    let Some(target) = uri.path_and_query() else { return Uri::default() };
+    let copy = Bytes::copy_from_slice(target.as_str().as_bytes());
+    PathAndQuery::from_maybe_shared(copy).unwrap_or_else(|_| target.clone()).into()
 }
--- a/crates/proxy/src/compact_head/tests.rs
+++ b/crates/proxy/src/compact_head/tests.rs
@@ -35,11 +35,25 @@
     assert!(buffer.is_unique());
 }
 
+/// Clients choose the target, so that no form of it may end the process.
 #[test]
-fn a_target_that_begins_with_two_slashes_stays_a_path() {
-    let uri = Uri::from(PathAndQuery::from_static("//host/look?n=1"));
+fn each_form_of_a_target_is_copied() {
+    let targets = [
+        "//host/look?n=1",
+        "http://host/look?n=1",
+        "http://host?n=1",
+        "http://host",
+        "*",
+        "/?",
+        "/look#part",
+    ];
+    for target in targets {
+        let uri: Uri = target.parse().unwrap();
 
-    assert_eq!(copy_target(&uri).path_and_query().unwrap().as_str(), "//host/look?n=1");
+        assert_eq!(copy_target(&uri).path_and_query(), uri.path_and_query(), "{target}");
+    }
+    let authority: Uri = "host:80".parse().unwrap();
+    assert_eq!(copy_target(&authority), Uri::default());
 }
 
 #[test]
--- a/crates/proxy/src/downstream/head_memory.rs
+++ b/crates/proxy/src/downstream/head_memory.rs
@@ -55,10 +55,11 @@
             self.state =
                 State::Waiting(Box::pin(async move { budget.reserve(LONG_HEAD_BUFFER_BYTES).await }));
         }
-        if let State::Waiting(reservation) = &mut self.state {
-            let reservation = ready!(reservation.as_mut().poll(context))?;
-            self.state = State::Reserved { _reservation: reservation };
-        }
+        let State::Waiting(reservation) = &mut self.state else { return Poll::Ready(Ok(())) };
+        let result = ready!(reservation.as_mut().poll(context));
+        // The future must not be polled again, whether it has succeeded or not.
+        self.state = State::Unreserved;
+        self.state = State::Reserved { _reservation: result? };
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/proxy/src/downstream/head_memory/tests.rs
+++ b/crates/proxy/src/downstream/head_memory/tests.rs
@@ -39,4 +39,5 @@
     memory.on_bytes_received(SMALL_HEAD_BYTES);
 
     assert!(ready(&mut memory).await.is_err());
+    assert!(ready(&mut memory).await.is_err(), "a connection that reads again fails again");
 }
