Run each call to discovery and its watch as one task, held in OpenWatches

Until now, the calls of a series were futures inside the task of a watch, and the sequential calls were ended with their task, so that no call could outlive the attempt to start a watch. Now each call is a task of its own, which becomes the watch when discovery responds. OpenWatches holds all of them and says which are ended; it has no I/O and no clock. The time limits and the order of calls are as before.

The log tells a call that was never answered from one that was given up before its answer; before, it could not.

--- a/crates/proxy/src/discovery/client.rs
+++ b/crates/proxy/src/discovery/client.rs
@@ -1,8 +1,10 @@
 //! The discovery client: fetches and reads endpoint lists and tracks the version of the one in use.
 
-use crate::discovery::call::{CallStrategy, DiscoveryCaller, DiscoveryResponse};
+use crate::discovery::backoff::Backoff;
+use crate::discovery::call::{DiscoveryCaller, DiscoveryResponse};
 use crate::discovery::endpoint_list::{EndpointListError, EndpointListReader, EndpointUpdate};
 use crate::discovery::error::DiscoveryError;
+use crate::discovery::open_watches::{OpenWatches, WatchId, WatchState};
 use crate::discovery::transfer::Transfer;
 use crate::metrics::Metrics;
 use crate::rate_limited_log::RateLimitedLog;
@@ -14,15 +16,21 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Path at which discovery serves the endpoint list.
 pub(super) const LIST_PATH: &str = "/registry/instances";
 /// Maximum length of an endpoint list. A longer response to a fetch is an error, and so is a list on a watch
 /// that is still incomplete after this many bytes.
 pub(super) const MAX_LIST_BYTES: usize = 8 * 1024 * 1024;
+/// Bounds of the timeout for a call where the balancer starts watches, from connecting up to the head of the
+/// response. A busy discovery service queues calls, and a call that times out loses its place in the queue.
+/// So each call that times out doubles the timeout of the next one.
+const MIN_RESPONSE_HEAD_TIMEOUT: Duration = Duration::from_millis(1000);
+const MAX_RESPONSE_HEAD_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// How much of the first endpoint list has arrived over a watch since the process started.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -41,10 +49,17 @@
     reader: EndpointListReader,
     /// Version of the endpoint list in use; 0 if there is none.
     version: Cell<u64>,
-    /// Task that runs the current watch, or the last one. `None` until the first watch starts.
-    watch_task: RefCell<Option<AbortHandle>>,
+    open_watches: RefCell<OpenWatches>,
+    /// What the calls and watches in `open_watches` are doing.
+    watch_state: watch::Sender<WatchState>,
+    /// Whether only one call is open at a time. Where discovery has to be asked for its list, every call
+    /// costs it work. A call to an agent on this machine costs nothing, while changes count as delivered (see
+    /// [`discovery`](crate::discovery)) even without a response, so calls overlap there.
+    calls_are_sequential: bool,
+    /// Timeout for the next sequential call, up to the head of its response.
+    response_head_timeout: Cell<Backoff>,
     first_list_progress: watch::Sender<FirstListProgress>,
-    pub(super) log: Rc<RateLimitedLog>,
+    pub(super) log: RateLimitedLog,
     pub(super) metrics: Rc<Metrics>,
 }
 
@@ -52,16 +67,17 @@
     /// Creates a client of discovery at `address`. The names in `site` map the zones and hardware models of
     /// endpoint lists to ids.
     pub fn new(address: SocketAddr, site: &Site, metrics: Rc<Metrics>) -> Self {
-        let strategy =
-            if site.settings.starts_watches { CallStrategy::Sequential } else { CallStrategy::Overlapping };
-        let log = Rc::<RateLimitedLog>::default();
+        let response_head_timeout = Backoff::new(MIN_RESPONSE_HEAD_TIMEOUT, MAX_RESPONSE_HEAD_TIMEOUT);
         Self {
-            caller: DiscoveryCaller::new(address, strategy, Rc::clone(&log), Rc::clone(&metrics)),
+            caller: DiscoveryCaller::new(address, Rc::clone(&metrics)),
             reader: EndpointListReader::new(site.names.clone()),
             version: Cell::new(0),
-            watch_task: RefCell::default(),
+            open_watches: RefCell::default(),
+            watch_state: watch::Sender::new(WatchState::Idle),
+            calls_are_sequential: site.settings.starts_watches,
+            response_head_timeout: Cell::new(response_head_timeout),
             first_list_progress: watch::Sender::new(FirstListProgress::Waiting),
-            log,
+            log: RateLimitedLog::default(),
             metrics,
         }
     }
@@ -152,7 +168,7 @@
     }
 
     async fn try_fetch(&self) -> Result<EndpointUpdate, DiscoveryError> {
-        let DiscoveryResponse { connection: _connection, body } = self.caller.call(LIST_PATH).await?;
+        let DiscoveryResponse { connection: _connection, body } = self.call_with_timeout(LIST_PATH).await?;
         let json = receive_body(body).await?;
         let update = self.read_received(&json)?;
         Ok(EndpointUpdate { scope: UpdateScope::Snapshot, ..update })
@@ -161,18 +177,75 @@
     /// Directs later calls to `address`. The endpoint list in use and its version are kept.
     ///
     /// Returns whether the driver has to start a new watch: the address differs from the previous one, and a
-    /// watch has been started before. When the new watch starts, [`DiscoveryClient::replace_watch_task`]
-    /// aborts the old one without an event, so that a planned change of the address does not count as a
-    /// failure, and nothing that the old address sends later overrides what the new one sends.
+    /// watch has been started before.
     pub fn set_address(&self, address: SocketAddr) -> bool {
-        self.caller.set_address(address) && self.watch_task.borrow().is_some()
+        self.caller.set_address(address) && self.open_watches.borrow().has_started()
     }
 
-    /// Stores the task that runs the current watch and aborts the previous one.
-    pub fn replace_watch_task(&self, task: AbortHandle) {
-        if let Some(previous) = self.watch_task.borrow_mut().replace(task) {
-            previous.abort();
+    /// Starts a call whose response is a watch. `spawn` starts the task that runs [`DiscoveryClient::watch`]
+    /// with this id.
+    pub fn start_watch(&self, spawn: impl FnOnce(WatchId) -> AbortHandle) {
+        let now = Instant::now();
+        self.update_watches(|watches| {
+            if self.calls_are_sequential {
+                watches.end_all();
+            }
+            let given_up = watches.give_up_calls(now);
+            self.record_calls_given_up(given_up);
+            watches.add(now, spawn);
+        });
+    }
+
+    /// Ends all calls and watches without an event, so that a planned change of the address does not count as
+    /// a failure, and nothing that the old address sends later overrides what the new one sends.
+    pub fn end_watches(&self) {
+        self.update_watches(OpenWatches::end_all);
+    }
+
+    /// Returns a receiver that follows what the open calls and watches are doing.
+    pub fn watch_state(&self) -> watch::Receiver<WatchState> {
+        self.watch_state.subscribe()
+    }
+
+    /// Changes the open watches and then notifies the receivers of [`DiscoveryClient::watch_state`].
+    pub(super) fn update_watches(&self, change: impl FnOnce(&mut OpenWatches)) {
+        let mut watches = self.open_watches.borrow_mut();
+        change(&mut watches);
+        let state = watches.state();
+        self.watch_state.send_if_modified(|current| std::mem::replace(current, state) != state);
+    }
+
+    fn record_calls_given_up(&self, count: usize) {
+        if count == 0 {
+            return;
+        }
+        self.metrics.discovery_calls_failed.inc_by(count as u64);
+        self.log.warn(|skipped| {
+            tracing::warn!(skipped, count, "calls to discovery given up: no response in time");
+        });
+    }
+
+    /// Makes a call that a watch begins with. A sequential call times out; a timeout makes the timeout of the
+    /// next call longer, and a response resets it to the minimum. Calls that overlap are given up by
+    /// [`DiscoveryClient::start_watch`].
+    pub(super) async fn call_for_watch(&self, target: &str) -> Result<DiscoveryResponse, DiscoveryError> {
+        if self.calls_are_sequential {
+            self.call_with_timeout(target).await
+        } else {
+            self.caller.call(target).await
+        }
+    }
+
+    async fn call_with_timeout(&self, target: &str) -> Result<DiscoveryResponse, DiscoveryError> {
+        let mut response_head_timeout = self.response_head_timeout.get();
+        let result = timeout(response_head_timeout.current(), self.caller.call(target)).await;
+        match &result {
+            Ok(Ok(_)) => response_head_timeout.reset(),
+            Ok(Err(_)) => {}
+            Err(_) => response_head_timeout.grow(),
         }
+        self.response_head_timeout.set(response_head_timeout);
+        result.unwrap_or(Err(DiscoveryError::ResponseHeadTimeout))
     }
 }
 
--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -24,5 +24,6 @@
 pub mod endpoint_list;
 mod error;
 mod json_stream;
+pub mod open_watches;
 mod transfer;
 mod watch;
--- a/crates/proxy/src/discovery/watch.rs
+++ b/crates/proxy/src/discovery/watch.rs
@@ -5,27 +5,47 @@
 use crate::discovery::endpoint_list::EndpointUpdate;
 use crate::discovery::error::DiscoveryError;
 use crate::discovery::json_stream::{JsonSplitter, StreamItem};
+use crate::discovery::open_watches::WatchId;
 use crate::discovery::transfer::{SILENCE_TIMEOUT, Transfer};
 use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout_at};
 
 impl DiscoveryClient {
     /// Watches the endpoint list from the version in use onwards and passes each update to `deliver`. Returns
-    /// once the watch has ended or failed, and logs how it ended.
-    pub async fn watch(&self, deliver: impl FnMut(EndpointUpdate)) {
-        let result = self.receive_updates(deliver).await;
+    /// once the call has failed or the watch has ended, and logs how.
+    pub async fn watch(&self, id: WatchId, deliver: impl FnMut(EndpointUpdate)) {
+        let target = format!("{LIST_PATH}?stream=1&index={}", self.version());
+        match self.call_for_watch(&target).await {
+            Ok(response) => {
+                self.update_watches(|watches| watches.record_response(id));
+                let result = self.receive_updates(response, deliver).await;
+                self.record_end(&result);
+            }
+            Err(error) => {
+                self.metrics.discovery_calls_failed.inc();
+                self.log.warn(|skipped| tracing::warn!(skipped, %error, "call to discovery failed"));
+            }
+        }
+        self.update_watches(|watches| watches.remove(id));
+    }
+
+    fn record_end(&self, result: &Result<(), DiscoveryError>) {
         self.metrics.watches_ended.inc();
+        let version = self.version();
         match result {
-            Ok(()) => tracing::info!(version = self.version(), "watch ended by discovery"),
-            Err(e) => self.log.warn(|skipped| {
-                tracing::warn!(skipped, version = self.version(), error = %e, "watch ended with an error");
+            Ok(()) => tracing::info!(version, "watch ended by discovery"),
+            Err(error) => self.log.warn(|skipped| {
+                tracing::warn!(skipped, version, %error, "watch ended with an error");
             }),
         }
     }
 
-    async fn receive_updates(&self, mut deliver: impl FnMut(EndpointUpdate)) -> Result<(), DiscoveryError> {
-        let target = format!("{LIST_PATH}?stream=1&index={}", self.version());
-        let DiscoveryResponse { connection: _connection, mut body } = self.caller.call(&target).await?;
+    async fn receive_updates(
+        &self,
+        response: DiscoveryResponse,
+        mut deliver: impl FnMut(EndpointUpdate),
+    ) -> Result<(), DiscoveryError> {
+        let DiscoveryResponse { connection: _connection, mut body } = response;
         self.advance_first_list_progress(FirstListProgress::Receiving);
         let mut messages = JsonSplitter::new(MAX_LIST_BYTES);
         let mut last_message_at = Instant::now();
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -31,7 +31,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::task::spawn_local;
+use tokio::task::{AbortHandle, spawn_local};
 
 /// The balancer and the requests that it decides on. Borrowed only while an event is handled or a request is
 /// added.
@@ -59,6 +59,8 @@
     /// Whether the balancer decides when to start a watch, by [`Action::WatchEndpoints`]. If `false`, the
     /// driver keeps a watch open by itself. In both cases, the driver itself never polls discovery.
     balancer_starts_watches: bool,
+    /// The task that keeps a watch open. `None` if the balancer decides when to start a watch.
+    keep_watching_task: RefCell<Option<AbortHandle>>,
     /// Set to `true` when all attempts have to end.
     abort_attempts: watch::Sender<bool>,
     metrics: Rc<Metrics>,
@@ -84,6 +86,7 @@
             upstreams,
             discovery,
             balancer_starts_watches,
+            keep_watching_task: RefCell::default(),
             abort_attempts: watch::Sender::new(false),
             metrics,
         });
--- a/crates/proxy/tests/common/log_text.rs
+++ b/crates/proxy/tests/common/log_text.rs
@@ -6,7 +6,7 @@
 pub const CONFIGURATION_REJECTED: &str = "configuration reload failed";
 /// Logged when the configuration file has been read again.
 pub const CONFIGURATION_RELOADED: &str = "configuration reloaded";
-/// Logged when a watch of the endpoint list has ended.
-pub const WATCH_ENDED: &str = "watch ended";
 /// Logged when a call to discovery has timed out.
 pub const CALL_TIMED_OUT: &str = "given up";
+/// Logged when a call to discovery has failed.
+pub const CALL_FAILED: &str = "call to discovery failed";
--- a/crates/proxy/tests/discovery.rs
+++ b/crates/proxy/tests/discovery.rs
@@ -188,7 +188,7 @@
             silent_clients.push(proxy.connect());
         }
         wait_until("a call to discovery has failed", || {
-            proxy.has_logged(log_text::WATCH_ENDED) || proxy.has_logged(log_text::CALL_TIMED_OUT)
+            proxy.has_logged(log_text::CALL_FAILED) || proxy.has_logged(log_text::CALL_TIMED_OUT)
         });
 
         let recovered_at = Instant::now();
