Keep one call to discovery a second open for 6 s, so that late answers are heard

Cause: a call is started every 0.2 s until one is answered, and each was given up after 2 s, the oldest included. The reload is not the cause: a start and an outage fail alike.

Now one call a second stays open for 6 s, after which a change counts as delivered in any case, and the oldest for 60 s; the rest are given up after 2 s as before. Whenever discovery begins to answer, a call made within the next second is open for long enough.

--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -19,7 +19,7 @@
 /// The environment variable that holds the path of the configuration file.
 const PATH_VARIABLE: &str = "NODE_CONFIG";
 /// File descriptors reserved for the standard streams, the poller, the listening socket and calls to
-/// discovery, of which about ten may overlap.
+/// discovery, of which up to 16 may overlap.
 const RESERVED_DESCRIPTORS: usize = 24;
 /// Maximum number of file descriptors that the proxy uses. It is the default value of `fs.nr_open`, the Linux
 /// limit on the descriptors of one process. An arbitrary larger number could exceed the maximum number of
--- a/crates/proxy/src/discovery/open_watches.rs
+++ b/crates/proxy/src/discovery/open_watches.rs
@@ -9,8 +9,18 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-/// Time after which a call without a response is given up.
+/// Age at which a call without a response is given up, unless it is a long call.
 const MAX_CALL_AGE: Duration = Duration::from_millis(2000);
+/// Age at which a long call without a response is given up. A change counts as delivered (see
+/// [`discovery`](crate::discovery)) at the latest 6 s after discovery had it and could be reached, so discovery
+/// may take almost that long for a call.
+const MAX_LONG_CALL_AGE: Duration = Duration::from_millis(6000);
+/// Age at which the oldest call without a response is given up. One such call costs little and is enough to
+/// hear from a discovery that takes longer than [`MAX_LONG_CALL_AGE`] for each call.
+const MAX_OLDEST_CALL_AGE: Duration = Duration::from_secs(60);
+/// Time from the start of one long call to the start of the next. Together with the other times it bounds the
+/// file descriptors in use: at intervals of 200 ms, at most 16 calls are open at once.
+const LONG_CALL_INTERVAL: Duration = Duration::from_millis(1000);
 
 /// Identifies a call and the watch that it becomes. Later calls have greater ids.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -31,10 +41,25 @@
 struct OpenWatch {
     id: WatchId,
     started_at: Instant,
+    /// Whether the call stays open up to [`MAX_LONG_CALL_AGE`].
+    is_long_call: bool,
     has_response: bool,
     task: AbortHandle,
 }
 
+impl OpenWatch {
+    /// Returns the age at which the call is given up if it has no response. `oldest` is the oldest such call.
+    fn max_age(&self, oldest: Option<WatchId>) -> Duration {
+        if Some(self.id) == oldest {
+            MAX_OLDEST_CALL_AGE
+        } else if self.is_long_call {
+            MAX_LONG_CALL_AGE
+        } else {
+            MAX_CALL_AGE
+        }
+    }
+}
+
 /// All open calls and watches of one discovery client, in the order in which they were started.
 #[derive(Default)]
 pub struct OpenWatches {
@@ -47,7 +72,14 @@
     pub fn add(&mut self, now: Instant, spawn: impl FnOnce(WatchId) -> AbortHandle) {
         self.last_id += 1;
         let id = WatchId(self.last_id);
-        self.watches.push(OpenWatch { id, started_at: now, has_response: false, task: spawn(id) });
+        let is_long_call = !self.has_long_call_since(now - LONG_CALL_INTERVAL);
+        let task = spawn(id);
+        self.watches.push(OpenWatch { id, started_at: now, is_long_call, has_response: false, task });
+    }
+
+    /// Returns whether a long call is open that was started after `time`.
+    fn has_long_call_since(&self, time: Instant) -> bool {
+        self.watches.iter().any(|watch| watch.is_long_call && watch.started_at > time)
     }
 
     /// Returns whether a call has ever been started.
@@ -82,8 +114,13 @@
     }
 
     /// Ends the calls that have been open for too long without a response, and returns their number.
+    ///
+    /// A call that is answered late cannot be told from one that will never be answered, because discovery
+    /// was down when it was made. So calls are repeated soon, but enough of the earlier ones stay open for an
+    /// answer that takes seconds.
     pub fn give_up_calls(&mut self, now: Instant) -> usize {
-        self.end_where(|watch| !watch.has_response && now - watch.started_at >= MAX_CALL_AGE)
+        let oldest = self.watches.iter().find(|watch| !watch.has_response).map(|watch| watch.id);
+        self.end_where(|watch| !watch.has_response && now - watch.started_at >= watch.max_age(oldest))
     }
 
     /// Ends all calls and watches.
--- a/crates/proxy/src/driver/tests.rs
+++ b/crates/proxy/src/driver/tests.rs
@@ -333,6 +333,78 @@
     assert_eq!(driver.endpoint_list_version(), 0);
 }
 
+/// Starts a stand-in for discovery that answers each call with a list of version `version`, `answer_time`
+/// after the call. It never answers the calls that arrive before `answers_from`.
+fn answer_late(discovery: TcpListener, version: u64, answers_from: Instant, answer_time: Duration) {
+    spawn_local(async move {
+        loop {
+            let mut call = accept_watch(&discovery).await;
+            let is_answered = Instant::now() >= answers_from;
+            spawn_local(async move {
+                sleep(answer_time).await;
+                if is_answered {
+                    let list = format!(r#"{{"rev":{version},"all":true,"targets":[]}}"#);
+                    let chunk = format!("{:x}\r\n{list}\r\n", list.len());
+                    // Fails if the driver has given up the call.
+                    let _ = call.write_all(&[LIST_RESPONSE_HEAD, chunk.as_bytes()].concat()).await;
+                }
+                sleep(LONG_TIMEOUT).await;
+            });
+        }
+    });
+}
+
+/// Waits until the driver uses a list of version `version`, and returns how long that took.
+async fn wait_for_version(driver: &Driver, version: u64) -> Duration {
+    let started_at = Instant::now();
+    while driver.endpoint_list_version() != version {
+        assert!(started_at.elapsed() < LONG_TIMEOUT, "version {version} never arrived");
+        sleep(Duration::from_millis(10)).await;
+    }
+    started_at.elapsed()
+}
+
+/// Guards against a driver that never hears from a discovery that answers each call after seconds, because it
+/// gives up each call before its answer. A change counts as delivered 4 s after the address of discovery has
+/// changed.
+#[tokio::test(flavor = "local", start_paused = true)]
+async fn the_list_of_a_slow_discovery_at_a_new_address_arrives_in_time() {
+    for answer_time_ms in [500, 1900, 2500, 3900] {
+        let (driver, old_discovery) = watching_driver().await;
+        let mut old_watch = accept_watch(&old_discovery).await;
+        old_watch.write_all(LIST_RESPONSE_HEAD).await.unwrap();
+        sleep(STABLE_WATCH_DURATION).await;
+        let new_discovery = listen().await;
+        let new_address = new_discovery.local_addr().unwrap();
+        answer_late(new_discovery, 2, Instant::now(), Duration::from_millis(answer_time_ms));
+
+        driver.set_discovery_address(new_address);
+
+        let time = wait_for_version(&driver, 2).await;
+        assert!(time < Duration::from_secs(4), "answers after {answer_time_ms} ms: {time:?}");
+    }
+}
+
+/// Guards against the same fault after an outage, in which calls that were made during the outage are never
+/// answered. A change counts as delivered 6 s after discovery can be reached again, and requests to a
+/// draining upstream have to stop within another 250 ms.
+#[tokio::test(flavor = "local", start_paused = true)]
+async fn the_list_of_a_discovery_that_is_slow_after_an_outage_arrives_in_time() {
+    for answer_time_ms in [0, 1900, 2500, 5000] {
+        for outage_ms in [0, 1500, 8300, 90_100] {
+            let (driver, discovery) = watching_driver().await;
+            let outage = Duration::from_millis(outage_ms);
+            answer_late(discovery, 2, Instant::now() + outage, Duration::from_millis(answer_time_ms));
+
+            sleep(outage).await;
+
+            let time = wait_for_version(&driver, 2).await;
+            let limit = Duration::from_millis(6250);
+            assert!(time < limit, "answers after {answer_time_ms} ms, outage of {outage_ms} ms: {time:?}");
+        }
+    }
+}
+
 /// While calls get no response, further ones are made, and each of them times out separately.
 #[tokio::test(flavor = "local", start_paused = true)]
 async fn calls_to_discovery_that_are_given_up_count_as_failed() {
