Compare ages of long calls without subtracting from an instant

A refactoring: a subtraction from an instant can fail where the clock has just started, the difference of two instants cannot. No decision changes.

--- a/crates/proxy/src/discovery/open_watches.rs
+++ b/crates/proxy/src/discovery/open_watches.rs
@@ -72,14 +72,14 @@
     pub fn add(&mut self, now: Instant, spawn: impl FnOnce(WatchId) -> AbortHandle) {
         self.last_id += 1;
         let id = WatchId(self.last_id);
-        let is_long_call = !self.has_long_call_since(now - LONG_CALL_INTERVAL);
+        let is_long_call = !self.has_recent_long_call(now);
         let task = spawn(id);
         self.watches.push(OpenWatch { id, started_at: now, is_long_call, has_response: false, task });
     }
 
-    /// Returns whether a long call is open that was started after `time`.
-    fn has_long_call_since(&self, time: Instant) -> bool {
-        self.watches.iter().any(|watch| watch.is_long_call && watch.started_at > time)
+    /// Returns whether a long call is open that was started less than [`LONG_CALL_INTERVAL`] ago.
+    fn has_recent_long_call(&self, now: Instant) -> bool {
+        self.watches.iter().any(|watch| watch.is_long_call && now - watch.started_at < LONG_CALL_INTERVAL)
     }
 
     /// Returns whether a call has ever been started.
