Let a list arrive completely although the balancer asks for a watch again

Where lists are asked for, callers would see requests to draining upstreams for as long as a list takes more than 0.4 to 0.6 of ask_every_ms to arrive (4 to 6 s of 10 s): the list is never read.

Cause: the balancer asks again if it has got no list in that time, and the new call ended the watch on which the list was still arriving; the next one began from the start.

Now no call is started while a watch has a response: its list is what the balancer asks for. A list that stalls or trickles is given up by its own watch as before, after 2.5 to 10 s, and the balancer is told.

--- a/crates/proxy/src/discovery/client.rs
+++ b/crates/proxy/src/discovery/client.rs
@@ -182,11 +182,15 @@
         self.caller.set_address(address) && self.open_watches.borrow().has_started()
     }
 
-    /// Starts a call whose response is a watch. `spawn` starts the task that runs [`DiscoveryClient::watch`]
-    /// with this id.
+    /// Starts a call whose response is a watch, unless discovery has already responded to one: a list that
+    /// still arrives would be started from its beginning. `spawn` starts the task that runs
+    /// [`DiscoveryClient::watch`] with this id.
     pub fn start_watch(&self, spawn: impl FnOnce(WatchId) -> AbortHandle) {
         let now = Instant::now();
         self.update_watches(|watches| {
+            if watches.state() == WatchState::Watching {
+                return;
+            }
             if self.calls_are_sequential {
                 watches.end_all();
             }
--- a/crates/proxy/src/driver/endpoint_watch.rs
+++ b/crates/proxy/src/driver/endpoint_watch.rs
@@ -28,10 +28,9 @@
 const CALL_INTERVAL: Duration = Duration::from_millis(200);
 
 impl Driver {
-    /// Starts a watch. Ends the previous one, if there is one. If the balancer does not decide when to start
-    /// a watch (`balancer_starts_watches`), keeps a watch open from now on.
+    /// Starts to watch the endpoint list. If the balancer does not decide when to start a watch
+    /// (`balancer_starts_watches`), keeps a watch open from now on.
     pub(super) fn watch_endpoints(self: &Rc<Self>) {
-        self.discovery.end_watches();
         if self.balancer_starts_watches {
             self.start_watch();
             return;
--- a/crates/proxy/src/driver/tests.rs
+++ b/crates/proxy/src/driver/tests.rs
@@ -52,7 +52,15 @@
 /// Starts a driver whose `discovery` setting is `mode`. Returns it with the listener that stands in for
 /// discovery.
 async fn driver_with_discovery(mode: &str) -> (Rc<Driver>, TcpListener) {
-    let discovery_settings = format!(r#""discovery":"{mode}","guarantees":{{"ask_every_ms":60000}}"#);
+    driver_with_poll_interval(mode, Duration::from_secs(60)).await
+}
+
+/// Starts a driver with the settings `discovery` and `ask_every_ms`. Returns it with the listener that stands
+/// in for discovery.
+async fn driver_with_poll_interval(mode: &str, poll_interval: Duration) -> (Rc<Driver>, TcpListener) {
+    let poll_interval_ms = poll_interval.as_millis();
+    let guarantees = format!(r#""guarantees":{{"ask_every_ms":{poll_interval_ms}}}"#);
+    let discovery_settings = format!(r#""discovery":"{mode}",{guarantees}"#);
     let settings = format!(r#"{{"classes":[{{"name":"look"}}],{discovery_settings}}}"#);
     let site = balancer_settings::parse(&settings).unwrap();
     let listener = listen().await;
@@ -302,6 +310,29 @@
     }
 }
 
+/// Guards against a watch that is ended while its list still arrives, because the balancer calls again for
+/// lack of a list. The next watch would start the same list from its beginning.
+#[tokio::test(flavor = "local", start_paused = true)]
+async fn a_long_list_is_read_to_its_end_although_the_balancer_asks_for_a_watch_again() {
+    for poll_interval_ms in [200, 2_000, 10_000] {
+        let poll_interval = Duration::from_millis(poll_interval_ms);
+        let (driver, discovery) = driver_with_poll_interval("subscribe", poll_interval).await;
+        spawn_local(async move {
+            loop {
+                let mut watch = accept_watch(&discovery).await;
+                spawn_local(async move {
+                    send_list_slowly(&mut watch, &long_list(2), Duration::from_secs(8), Duration::ZERO).await;
+                    sleep(LONG_TIMEOUT).await;
+                });
+            }
+        });
+
+        let time = wait_for_version(&driver, 2).await;
+        assert!(time < Duration::from_secs(10), "poll interval {poll_interval:?}: {time:?}");
+        assert_eq!(driver.metrics.discovery_calls.get(), 1, "poll interval {poll_interval:?}");
+    }
+}
+
 /// A stall in the middle of a list counts as silence, just as one between two lists does. A list whose mean
 /// rate is too low is given up as well.
 #[tokio::test(flavor = "local", start_paused = true)]
