Keep a call to discovery open when it is overdue and another one is made

Cause: the proxy gave up each call after 1 to 2.5 s before it made the next, and a call that the balancer repeats (after 0.4 to 0.6 of ask_every_ms) ended the earlier one. Each new call begins at the end of discovery's queue. The second limit alone is enough: answers after 0.9 s were never heard with ask_every_ms 200, after 1.5 s with 2,000 (driver test).

Now an overdue call is reported to the balancer as failed after 1 s, so that it makes another, and stays open beside it; the first answer wins. Calls are given up as where lists are pushed, at most 16 are open. The decisions in crates/core are unchanged.

--- a/crates/proxy/src/discovery/backoff.rs
+++ b/crates/proxy/src/discovery/backoff.rs
@@ -1,5 +1,4 @@
-//! A duration that doubles after each failure, within two bounds. It is used as a wait between watches and
-//! as a timeout for calls to discovery.
+//! A duration that doubles after each failure, within two bounds. It is used as a wait between watches.
 
 use std::time::Duration;
 
--- a/crates/proxy/src/discovery/client.rs
+++ b/crates/proxy/src/discovery/client.rs
@@ -1,10 +1,9 @@
 //! The discovery client: fetches and reads endpoint lists and tracks the version of the one in use.
 
-use crate::discovery::backoff::Backoff;
 use crate::discovery::call::{DiscoveryCaller, DiscoveryResponse};
 use crate::discovery::endpoint_list::{EndpointListError, EndpointListReader, EndpointUpdate};
 use crate::discovery::error::DiscoveryError;
-use crate::discovery::open_watches::{OpenWatches, WatchId, WatchState};
+use crate::discovery::open_watches::{CallsGivenUp, OpenWatches, WatchId, WatchState};
 use crate::discovery::transfer::Transfer;
 use crate::metrics::Metrics;
 use crate::rate_limited_log::RateLimitedLog;
@@ -26,11 +25,12 @@
 /// Maximum length of an endpoint list. A longer response to a fetch is an error, and so is a list on a watch
 /// that is still incomplete after this many bytes.
 pub(super) const MAX_LIST_BYTES: usize = 8 * 1024 * 1024;
-/// Bounds of the timeout for a call where the balancer starts watches, from connecting up to the head of the
-/// response. A busy discovery service queues calls, and a call that times out loses its place in the queue.
-/// So each call that times out doubles the timeout of the next one.
-const MIN_RESPONSE_HEAD_TIMEOUT: Duration = Duration::from_millis(1000);
-const MAX_RESPONSE_HEAD_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Age at which a call without a response is reported to the balancer as failed, where the balancer starts
+/// watches. It then makes another call, because this one may never be answered. The call stays open, since a
+/// busy discovery service queues calls, and a call that is given up loses its place in the queue.
+const OVERDUE_CALL_AGE: Duration = Duration::from_millis(1000);
+/// Timeout for a fetch, from connecting up to the head of the response.
+const FETCH_RESPONSE_TIMEOUT: Duration = Duration::from_millis(6000);
 
 /// How much of the first endpoint list has arrived over a watch since the process started.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -52,12 +52,8 @@
     open_watches: RefCell<OpenWatches>,
     /// What the calls and watches in `open_watches` are doing.
     watch_state: watch::Sender<WatchState>,
-    /// Whether only one call is open at a time. Where discovery has to be asked for its list, every call
-    /// costs it work. A call to an agent on this machine costs nothing, while changes count as delivered (see
-    /// [`discovery`](crate::discovery)) even without a response, so calls overlap there.
-    calls_are_sequential: bool,
-    /// Timeout for the next sequential call, up to the head of its response.
-    response_head_timeout: Cell<Backoff>,
+    /// Whether the balancer decides when to start a watch, and is told of calls that fail or are overdue.
+    balancer_starts_watches: bool,
     first_list_progress: watch::Sender<FirstListProgress>,
     pub(super) log: RateLimitedLog,
     pub(super) metrics: Rc<Metrics>,
@@ -67,15 +63,13 @@
     /// Creates a client of discovery at `address`. The names in `site` map the zones and hardware models of
     /// endpoint lists to ids.
     pub fn new(address: SocketAddr, site: &Site, metrics: Rc<Metrics>) -> Self {
-        let response_head_timeout = Backoff::new(MIN_RESPONSE_HEAD_TIMEOUT, MAX_RESPONSE_HEAD_TIMEOUT);
         Self {
             caller: DiscoveryCaller::new(address, Rc::clone(&metrics)),
             reader: EndpointListReader::new(site.names.clone()),
             version: Cell::new(0),
             open_watches: RefCell::default(),
             watch_state: watch::Sender::new(WatchState::Idle),
-            calls_are_sequential: site.settings.starts_watches,
-            response_head_timeout: Cell::new(response_head_timeout),
+            balancer_starts_watches: site.settings.starts_watches,
             first_list_progress: watch::Sender::new(FirstListProgress::Waiting),
             log: RateLimitedLog::default(),
             metrics,
@@ -168,7 +162,10 @@
     }
 
     async fn try_fetch(&self) -> Result<EndpointUpdate, DiscoveryError> {
-        let DiscoveryResponse { connection: _connection, body } = self.call_with_timeout(LIST_PATH).await?;
+        let DiscoveryResponse { connection: _connection, body } =
+            timeout(FETCH_RESPONSE_TIMEOUT, self.caller.call(LIST_PATH))
+                .await
+                .map_err(|_| DiscoveryError::ResponseHeadTimeout)??;
         let json = receive_body(body).await?;
         let update = self.read_received(&json)?;
         Ok(EndpointUpdate { scope: UpdateScope::Snapshot, ..update })
@@ -191,11 +188,8 @@
             if watches.state() == WatchState::Watching {
                 return;
             }
-            if self.calls_are_sequential {
-                watches.end_all();
-            }
             let given_up = watches.give_up_calls(now);
-            self.record_calls_given_up(given_up);
+            self.record_calls_given_up(&given_up);
             watches.add(now, spawn);
         });
     }
@@ -212,44 +206,55 @@
     }
 
     /// Changes the open watches and then notifies the receivers of [`DiscoveryClient::watch_state`].
-    pub(super) fn update_watches(&self, change: impl FnOnce(&mut OpenWatches)) {
+    pub(super) fn update_watches<T>(&self, change: impl FnOnce(&mut OpenWatches) -> T) -> T {
         let mut watches = self.open_watches.borrow_mut();
-        change(&mut watches);
+        let result = change(&mut watches);
         let state = watches.state();
         self.watch_state.send_if_modified(|current| std::mem::replace(current, state) != state);
+        result
     }
 
-    fn record_calls_given_up(&self, count: usize) {
-        if count == 0 {
-            return;
+    fn record_calls_given_up(&self, given_up: &CallsGivenUp) {
+        self.metrics.discovery_calls_failed.inc_by(given_up.not_overdue);
+        let count = given_up.count;
+        if count > 0 {
+            self.log.warn(|skipped| {
+                tracing::warn!(skipped, count, "calls to discovery given up: no response in time");
+            });
         }
-        self.metrics.discovery_calls_failed.inc_by(count as u64);
-        self.log.warn(|skipped| {
-            tracing::warn!(skipped, count, "calls to discovery given up: no response in time");
-        });
     }
 
-    /// Makes a call that a watch begins with. A sequential call times out; a timeout makes the timeout of the
-    /// next call longer, and a response resets it to the minimum. Calls that overlap are given up by
-    /// [`DiscoveryClient::start_watch`].
-    pub(super) async fn call_for_watch(&self, target: &str) -> Result<DiscoveryResponse, DiscoveryError> {
-        if self.calls_are_sequential {
-            self.call_with_timeout(target).await
-        } else {
-            self.caller.call(target).await
+    /// Makes the call that a watch begins with. Where the balancer starts watches, a call that is overdue is
+    /// passed to `deliver` as failed, so that the balancer makes another one, but the call goes on.
+    pub(super) async fn call_for_watch(
+        &self,
+        id: WatchId,
+        target: &str,
+        deliver: &mut impl FnMut(EndpointUpdate),
+    ) -> Result<DiscoveryResponse, DiscoveryError> {
+        let call = self.caller.call(target);
+        if !self.balancer_starts_watches {
+            return call.await;
+        }
+        tokio::pin!(call);
+        if let Ok(result) = timeout(OVERDUE_CALL_AGE, &mut call).await {
+            return result;
+        }
+        self.metrics.discovery_calls_failed.inc();
+        self.log.warn(|skipped| tracing::warn!(skipped, "no response from discovery yet"));
+        if self.update_watches(|watches| watches.record_overdue(id)) {
+            deliver(EndpointUpdate::failed());
         }
+        call.await
     }
 
-    async fn call_with_timeout(&self, target: &str) -> Result<DiscoveryResponse, DiscoveryError> {
-        let mut response_head_timeout = self.response_head_timeout.get();
-        let result = timeout(response_head_timeout.current(), self.caller.call(target)).await;
-        match &result {
-            Ok(Ok(_)) => response_head_timeout.reset(),
-            Ok(Err(_)) => {}
-            Err(_) => response_head_timeout.grow(),
+    /// Removes a watch that has ended. Where the balancer starts watches, the end is passed to `deliver`,
+    /// unless the balancer knows already that it needs another watch.
+    pub(super) fn remove_watch(&self, id: WatchId, deliver: &mut impl FnMut(EndpointUpdate)) {
+        let needs_another_call = self.update_watches(|watches| watches.remove(id));
+        if needs_another_call && self.balancer_starts_watches {
+            deliver(EndpointUpdate::failed());
         }
-        self.response_head_timeout.set(response_head_timeout);
-        result.unwrap_or(Err(DiscoveryError::ResponseHeadTimeout))
     }
 }
 
--- a/crates/proxy/src/discovery/open_watches.rs
+++ b/crates/proxy/src/discovery/open_watches.rs
@@ -5,6 +5,7 @@
 #[cfg(test)]
 mod tests;
 
+use std::ops::AddAssign;
 use std::time::Duration;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -18,9 +19,11 @@
 /// Age at which the oldest call without a response is given up. One such call costs little and is enough to
 /// hear from a discovery that takes longer than [`MAX_LONG_CALL_AGE`] for each call.
 const MAX_OLDEST_CALL_AGE: Duration = Duration::from_secs(60);
-/// Time from the start of one long call to the start of the next. Together with the other times it bounds the
-/// file descriptors in use: at intervals of 200 ms, at most 16 calls are open at once.
+/// Time from the start of one long call to the start of the next.
 const LONG_CALL_INTERVAL: Duration = Duration::from_millis(1000);
+/// Maximum number of open calls, which bounds the file descriptors in use. It is more than the number of long
+/// calls, and leaves out no call that is started 200 ms after the one before it.
+const MAX_OPEN_CALLS: usize = 16;
 
 /// Identifies a call and the watch that it becomes. Later calls have greater ids.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -37,12 +40,30 @@
     Watching,
 }
 
+/// The calls that were given up because they had no response.
+#[derive(Debug, Default, Eq, PartialEq)]
+pub struct CallsGivenUp {
+    /// Number of calls given up.
+    pub count: u64,
+    /// Number of those that had not been overdue before.
+    pub not_overdue: u64,
+}
+
+impl AddAssign for CallsGivenUp {
+    fn add_assign(&mut self, other: Self) {
+        self.count += other.count;
+        self.not_overdue += other.not_overdue;
+    }
+}
+
 /// A call to discovery, or the watch that it has become.
 struct OpenWatch {
     id: WatchId,
     started_at: Instant,
     /// Whether the call stays open up to [`MAX_LONG_CALL_AGE`].
     is_long_call: bool,
+    /// Whether the call had no response in time.
+    is_overdue: bool,
     has_response: bool,
     task: AbortHandle,
 }
@@ -74,7 +95,14 @@
         let id = WatchId(self.last_id);
         let is_long_call = !self.has_recent_long_call(now);
         let task = spawn(id);
-        self.watches.push(OpenWatch { id, started_at: now, is_long_call, has_response: false, task });
+        self.watches.push(OpenWatch {
+            id,
+            started_at: now,
+            is_long_call,
+            is_overdue: false,
+            has_response: false,
+            task,
+        });
     }
 
     /// Returns whether a long call is open that was started less than [`LONG_CALL_INTERVAL`] ago.
@@ -108,36 +136,75 @@
         self.end_where(|watch| watch.id != id && !watch.has_response);
     }
 
-    /// Removes a watch whose task has ended by itself.
-    pub fn remove(&mut self, id: WatchId) {
+    /// Records that a call had no response in time. Returns whether another call is needed.
+    pub fn record_overdue(&mut self, id: WatchId) -> bool {
+        if let Some(watch) = self.watches.iter_mut().find(|watch| watch.id == id) {
+            watch.is_overdue = true;
+        }
+        self.is_latest(id)
+    }
+
+    /// Returns whether a call had no response in time.
+    pub fn is_overdue(&self, id: WatchId) -> bool {
+        self.watches.iter().any(|watch| watch.id == id && watch.is_overdue)
+    }
+
+    /// Removes a watch whose task has ended by itself. Returns whether another call is needed: not if a later
+    /// one is open, and not if this one was overdue and never got a response.
+    pub fn remove(&mut self, id: WatchId) -> bool {
+        let needs_another_call = self.is_latest(id)
+            && self.watches.iter().any(|watch| watch.id == id && (watch.has_response || !watch.is_overdue));
         self.watches.retain(|watch| watch.id != id);
+        needs_another_call
     }
 
-    /// Ends the calls that have been open for too long without a response, and returns their number.
+    /// Returns whether a call or watch is the latest of those that are open.
+    fn is_latest(&self, id: WatchId) -> bool {
+        self.watches.last().is_some_and(|latest| latest.id == id)
+    }
+
+    /// Ends the calls that have been open for too long without a response, and the oldest short ones if there
+    /// are too many for another one.
     ///
     /// A call that is answered late cannot be told from one that will never be answered, because discovery
     /// was down when it was made. So calls are repeated soon, but enough of the earlier ones stay open for an
     /// answer that takes seconds.
-    pub fn give_up_calls(&mut self, now: Instant) -> usize {
-        let oldest = self.watches.iter().find(|watch| !watch.has_response).map(|watch| watch.id);
+    pub fn give_up_calls(&mut self, now: Instant) -> CallsGivenUp {
+        let mut given_up = self.end_old_calls(now);
+        while self.calls().count() >= MAX_OPEN_CALLS {
+            let Some(id) = self.calls().find(|call| !call.is_long_call).map(|call| call.id) else { break };
+            given_up += self.end_where(|watch| watch.id == id);
+        }
+        given_up
+    }
+
+    fn end_old_calls(&mut self, now: Instant) -> CallsGivenUp {
+        let oldest = self.calls().next().map(|call| call.id);
         self.end_where(|watch| !watch.has_response && now - watch.started_at >= watch.max_age(oldest))
     }
 
+    /// Returns the calls without a response, the oldest first.
+    fn calls(&self) -> impl Iterator<Item = &OpenWatch> {
+        self.watches.iter().filter(|watch| !watch.has_response)
+    }
+
     /// Ends all calls and watches.
     pub fn end_all(&mut self) {
         self.end_where(|_| true);
     }
 
-    /// Ends the watches for which `is_ended` holds, and returns their number.
-    fn end_where(&mut self, is_ended: impl Fn(&OpenWatch) -> bool) -> usize {
-        let count_before = self.watches.len();
+    /// Ends the calls and watches for which `is_ended` holds.
+    fn end_where(&mut self, is_ended: impl Fn(&OpenWatch) -> bool) -> CallsGivenUp {
+        let mut ended = CallsGivenUp::default();
         self.watches.retain(|watch| {
-            let is_ended = is_ended(watch);
-            if is_ended {
-                watch.task.abort();
+            if !is_ended(watch) {
+                return true;
             }
-            !is_ended
+            watch.task.abort();
+            ended.count += 1;
+            ended.not_overdue += u64::from(!watch.is_overdue);
+            false
         });
-        count_before - self.watches.len()
+        ended
     }
 }
--- a/crates/proxy/src/discovery/open_watches/tests.rs
+++ b/crates/proxy/src/discovery/open_watches/tests.rs
@@ -5,8 +5,6 @@
 
 /// Interval at which the driver repeats calls to discovery.
 const CALL_INTERVAL_MS: u64 = 200;
-/// Maximum number of open calls, which the file descriptors that the configuration reserves allow for.
-const MAX_OPEN_CALLS: usize = 16;
 
 /// Open watches, started at times that a test chooses, whose tasks never end by themselves.
 struct Setup {
@@ -65,36 +63,67 @@
 
 /// Guards against calls that are all given up before a slow discovery answers one of them. Whenever discovery
 /// begins to answer calls, and however long it takes for each, a call that was made at most 1 s later has to
-/// be open for as long as that.
+/// be open for as long as that. This holds for calls at any interval.
 #[tokio::test(flavor = "local")]
 async fn a_call_from_any_second_stays_open_until_a_late_answer() {
+    for interval_ms in [40, CALL_INTERVAL_MS, 1000] {
+        calls_from_any_second_stay_open(interval_ms);
+    }
+}
+
+fn calls_from_any_second_stay_open(interval_ms: u64) {
     for answers_from_ms in [0, 200, 700, 1200, 3400] {
         for answer_time_ms in [1500, 2500, 4000, 5000] {
             let mut setup = Setup::new();
             let calls: Vec<_> = (0..=answers_from_ms + 1000 + answer_time_ms)
-                .step_by(CALL_INTERVAL_MS as usize)
+                .step_by(interval_ms as usize)
                 .map(|milliseconds| (setup.call_at(milliseconds), milliseconds))
                 .collect();
 
             let is_answered = calls.iter().any(|(id, started_at_ms)| {
                 (answers_from_ms..=answers_from_ms + 1000).contains(started_at_ms) && setup.is_open(*id)
             });
-            assert!(is_answered, "calls from {answers_from_ms} ms on, answered after {answer_time_ms} ms");
+            assert!(
+                is_answered,
+                "each {interval_ms} ms: calls from {answers_from_ms} ms on, answered after {answer_time_ms} ms"
+            );
         }
     }
 }
 
 #[tokio::test(flavor = "local")]
 async fn the_oldest_call_stays_open_for_a_minute_and_the_number_of_calls_is_bounded() {
-    let mut setup = Setup::new();
-    let oldest = setup.call_at(0);
-    for milliseconds in (CALL_INTERVAL_MS..60_000).step_by(CALL_INTERVAL_MS as usize) {
-        setup.call_at(milliseconds);
-        assert!(setup.watches.watches.len() <= MAX_OPEN_CALLS, "{}", setup.watches.watches.len());
-    }
-    assert!(setup.is_open(oldest));
+    for interval_ms in [40, CALL_INTERVAL_MS, 1000] {
+        let mut setup = Setup::new();
+        let oldest = setup.call_at(0);
+        for milliseconds in (interval_ms..60_000).step_by(interval_ms as usize) {
+            setup.call_at(milliseconds);
+            assert!(setup.watches.watches.len() <= MAX_OPEN_CALLS, "{}", setup.watches.watches.len());
+        }
+        assert!(setup.is_open(oldest));
 
-    setup.call_at(60_000);
+        setup.call_at(60_000);
 
-    assert!(!setup.is_open(oldest));
+        assert!(!setup.is_open(oldest));
+    }
+}
+
+/// Guards against a balancer that is told twice that a call failed, or never that it needs another one.
+#[tokio::test(flavor = "local")]
+async fn another_call_is_needed_once_after_the_latest_call_is_overdue_or_has_ended() {
+    let mut setup = Setup::new();
+    let overdue = setup.call_at(0);
+    assert!(setup.watches.record_overdue(overdue));
+    assert!(!setup.watches.remove(overdue), "the call was overdue before it failed");
+
+    let earlier = setup.call_at(1000);
+    let latest = setup.call_at(2000);
+    assert!(!setup.watches.record_overdue(earlier), "a later call is open");
+    assert!(!setup.watches.remove(earlier), "a later call is open");
+    assert!(setup.watches.remove(latest));
+
+    let answered_late = setup.call_at(3000);
+    setup.watches.record_overdue(answered_late);
+    setup.watches.record_response(answered_late);
+    assert!(setup.watches.remove(answered_late), "the watch has ended");
 }
--- a/crates/proxy/src/discovery/watch.rs
+++ b/crates/proxy/src/discovery/watch.rs
@@ -12,21 +12,24 @@
 
 impl DiscoveryClient {
     /// Watches the endpoint list from the version in use onwards and passes each update to `deliver`. Returns
-    /// once the call has failed or the watch has ended, and logs how.
-    pub async fn watch(&self, id: WatchId, deliver: impl FnMut(EndpointUpdate)) {
+    /// once the call has failed or the watch has ended, and logs how. Where the balancer starts watches, it is
+    /// told by [`UpdateScope::Failed`](balancer_core::UpdateScope::Failed) that it needs another one.
+    pub async fn watch(&self, id: WatchId, mut deliver: impl FnMut(EndpointUpdate)) {
         let target = format!("{LIST_PATH}?stream=1&index={}", self.version());
-        match self.call_for_watch(&target).await {
+        match self.call_for_watch(id, &target, &mut deliver).await {
             Ok(response) => {
                 self.update_watches(|watches| watches.record_response(id));
-                let result = self.receive_updates(response, deliver).await;
+                let result = self.receive_updates(response, &mut deliver).await;
                 self.record_end(&result);
             }
             Err(error) => {
-                self.metrics.discovery_calls_failed.inc();
+                if !self.update_watches(|watches| watches.is_overdue(id)) {
+                    self.metrics.discovery_calls_failed.inc();
+                }
                 self.log.warn(|skipped| tracing::warn!(skipped, %error, "call to discovery failed"));
             }
         }
-        self.update_watches(|watches| watches.remove(id));
+        self.remove_watch(id, &mut deliver);
     }
 
     fn record_end(&self, result: &Result<(), DiscoveryError>) {
@@ -43,7 +46,7 @@
     async fn receive_updates(
         &self,
         response: DiscoveryResponse,
-        mut deliver: impl FnMut(EndpointUpdate),
+        deliver: &mut impl FnMut(EndpointUpdate),
     ) -> Result<(), DiscoveryError> {
         let DiscoveryResponse { connection: _connection, mut body } = response;
         self.advance_first_list_progress(FirstListProgress::Receiving);
@@ -60,7 +63,7 @@
             self.advance_first_list_progress(FirstListProgress::Receiving);
             messages.push(&data);
             let received_message = self
-                .deliver_complete_messages(&mut messages, &mut deliver)
+                .deliver_complete_messages(&mut messages, deliver)
                 // The unreadable message may have announced a drain, so the next watch needs the whole list.
                 .inspect_err(|_| self.discard_version())?;
             if received_message {
--- a/crates/proxy/src/driver/endpoint_watch.rs
+++ b/crates/proxy/src/driver/endpoint_watch.rs
@@ -1,8 +1,7 @@
 //! Starts the tasks that watch the endpoint list for changes.
 
 use crate::discovery::backoff::Backoff;
-use crate::discovery::endpoint_list::EndpointUpdate;
-use crate::discovery::open_watches::{WatchId, WatchState};
+use crate::discovery::open_watches::WatchState;
 use crate::driver::Driver;
 use crate::driver::event_queue::DriverEvent;
 use std::rc::Rc;
@@ -41,24 +40,20 @@
         }
     }
 
-    /// Starts one call to discovery, whose response is a watch.
-    fn start_watch(self: &Rc<Self>) {
+    /// Starts one call to discovery, whose response is a watch. Each of its updates is delivered as an event,
+    /// and so is the need for another call if the balancer decides when to start a watch. It starts the next
+    /// one by `Action::WatchEndpoints`.
+    pub(super) fn start_watch(self: &Rc<Self>) {
         self.discovery.start_watch(|id| {
             let driver = Rc::clone(self);
-            spawn_local(async move { driver.run_watch(id).await }).abort_handle()
+            let watch = async move {
+                let deliver = |update| driver.deliver(DriverEvent::EndpointUpdate { update });
+                driver.discovery.watch(id, deliver).await;
+            };
+            spawn_local(watch).abort_handle()
         });
     }
 
-    /// Runs a watch and delivers each of its updates as an event. If the balancer decides when to start a
-    /// watch, the end of the watch is delivered as an event, too, and the balancer starts the next one by
-    /// `Action::WatchEndpoints`.
-    async fn run_watch(self: Rc<Self>, id: WatchId) {
-        self.discovery.watch(id, |update| self.deliver(DriverEvent::EndpointUpdate { update })).await;
-        if self.balancer_starts_watches {
-            self.deliver(DriverEvent::EndpointUpdate { update: EndpointUpdate::failed() });
-        }
-    }
-
     /// Keeps a watch open. When it ends, starts the next one, after a backoff if it ended soon. Never
     /// returns.
     async fn keep_watching(self: Rc<Self>) {
--- a/crates/proxy/src/driver/tests.rs
+++ b/crates/proxy/src/driver/tests.rs
@@ -436,6 +436,44 @@
     }
 }
 
+/// Guards against a balancer that asks for the list and never hears from a discovery that answers each call
+/// after seconds, because it gives up each call before its answer, however often it calls. A change counts as
+/// delivered 6 s after discovery had it, and requests to a draining upstream have to stop within another
+/// 250 ms.
+#[tokio::test(flavor = "local", start_paused = true)]
+async fn the_list_of_a_slow_discovery_arrives_in_time_where_the_balancer_asks_for_it() {
+    for poll_interval_ms in [200, 2_000, 10_000] {
+        for answer_time_ms in [900, 1500, 3000, 5000] {
+            let poll_interval = Duration::from_millis(poll_interval_ms);
+            let (driver, discovery) = driver_with_poll_interval("subscribe", poll_interval).await;
+            answer_late(discovery, 2, Instant::now(), Duration::from_millis(answer_time_ms));
+
+            let time = wait_for_version(&driver, 2).await;
+            let limit = Duration::from_millis(6250);
+            assert!(time < limit, "{poll_interval:?}, answers after {answer_time_ms} ms: {time:?}");
+        }
+    }
+}
+
+/// Guards against the same fault after an outage, in which calls that were made during the outage are never
+/// answered.
+#[tokio::test(flavor = "local", start_paused = true)]
+async fn the_list_of_a_discovery_that_is_slow_after_an_outage_arrives_in_time_where_it_is_asked() {
+    for answer_time_ms in [0, 1000, 2000] {
+        for outage_ms in [0, 1500, 8300, 20_700, 90_100] {
+            let (driver, discovery) = driver_with_discovery("subscribe").await;
+            let outage = Duration::from_millis(outage_ms);
+            answer_late(discovery, 2, Instant::now() + outage, Duration::from_millis(answer_time_ms));
+
+            sleep(outage).await;
+
+            let time = wait_for_version(&driver, 2).await;
+            let limit = Duration::from_millis(6250);
+            assert!(time < limit, "answers after {answer_time_ms} ms, outage of {outage_ms} ms: {time:?}");
+        }
+    }
+}
+
 /// While calls get no response, further ones are made, and each of them times out separately.
 #[tokio::test(flavor = "local", start_paused = true)]
 async fn calls_to_discovery_that_are_given_up_count_as_failed() {
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -106,7 +106,8 @@
     pub clients_evicted_for_memory: Counter,
     /// Calls to discovery that were started, successful or not.
     pub discovery_calls: Counter,
-    /// Calls to discovery that failed or were given up before the head of their response arrived.
+    /// Calls to discovery that failed, were given up or were reported to the balancer as failed before the
+    /// head of their response arrived. Each call counts once, even if it is answered late.
     pub discovery_calls_failed: Counter,
     /// Watches that discovery ended or that failed. A watch that is aborted because discovery has a new
     /// address does not count.
--- a/crates/proxy/tests/discovery.rs
+++ b/crates/proxy/tests/discovery.rs
@@ -116,8 +116,8 @@
     std::thread::sleep(TIMEOUT);
 }
 
-/// Guards against calls that always time out while discovery is overloaded: a call that times out loses its
-/// place in the queue of discovery, so the next call needs a longer timeout.
+/// Guards against calls that always time out while discovery is overloaded: a call that is given up loses its
+/// place in the queue of discovery.
 #[test]
 fn an_update_takes_effect_in_time_although_discovery_responds_slowly() {
     for mode in [DiscoveryMode::Automatic, DiscoveryMode::Subscribe] {
@@ -188,7 +188,9 @@
             silent_clients.push(proxy.connect());
         }
         wait_until("a call to discovery has failed", || {
-            proxy.has_logged(log_text::CALL_FAILED) || proxy.has_logged(log_text::CALL_TIMED_OUT)
+            [log_text::CALL_FAILED, log_text::CALL_OVERDUE, log_text::CALL_TIMED_OUT]
+                .iter()
+                .any(|text| proxy.has_logged(text))
         });
 
         let recovered_at = Instant::now();
