Keep calls to earlier discovery addresses open until a later one responds

If new configurations move discovery faster than it answers, callers would see requests to draining upstreams for longer than the 4 s after which a change counts as delivered.

Calls and watches at earlier addresses now stay open until discovery responds at a later one, which ends them, so that nothing an earlier address sends can override it. The limit of 16 open calls holds for all addresses together. The balancer is told of a failure again if an update has come since the last report: otherwise a watch at an earlier address could make it wait for a watch that has ended.

--- a/crates/proxy/src/discovery/client.rs
+++ b/crates/proxy/src/discovery/client.rs
@@ -171,12 +171,18 @@
         Ok(EndpointUpdate { scope: UpdateScope::Snapshot, ..update })
     }
 
-    /// Directs later calls to `address`. The endpoint list in use and its version are kept.
+    /// Directs later calls to `address`. The endpoint list in use and its version are kept. The calls and
+    /// watches at the previous address stay open until discovery responds at the new one. Their end is no
+    /// failure.
     ///
     /// Returns whether the driver has to start a new watch: the address differs from the previous one, and a
     /// watch has been started before.
     pub fn set_address(&self, address: SocketAddr) -> bool {
-        self.caller.set_address(address) && self.open_watches.borrow().has_started()
+        if !self.caller.set_address(address) {
+            return false;
+        }
+        self.update_watches(OpenWatches::start_epoch);
+        self.open_watches.borrow().has_started()
     }
 
     /// Starts a call whose response is a watch, unless discovery has already responded to one: a list that
@@ -194,13 +200,7 @@
         });
     }
 
-    /// Ends all calls and watches without an event, so that a planned change of the address does not count as
-    /// a failure, and nothing that the old address sends later overrides what the new one sends.
-    pub fn end_watches(&self) {
-        self.update_watches(OpenWatches::end_all);
-    }
-
-    /// Returns a receiver that follows what the open calls and watches are doing.
+    /// Returns a receiver that follows what the open calls and watches at the current address are doing.
     pub fn watch_state(&self) -> watch::Receiver<WatchState> {
         self.watch_state.subscribe()
     }
--- a/crates/proxy/src/discovery/open_watches.rs
+++ b/crates/proxy/src/discovery/open_watches.rs
@@ -22,14 +22,18 @@
 /// Time from the start of one long call to the start of the next.
 const LONG_CALL_INTERVAL: Duration = Duration::from_millis(1000);
 /// Maximum number of open calls, which bounds the file descriptors in use. It is more than the number of long
-/// calls, and leaves out no call that is started 200 ms after the one before it.
+/// calls to one address, and leaves out no call that is started 200 ms after the one before it.
 const MAX_OPEN_CALLS: usize = 16;
 
 /// Identifies a call and the watch that it becomes. Later calls have greater ids.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct WatchId(u64);
 
-/// What the open calls and watches are doing.
+/// Number of the discovery address that a call was made to. Later addresses have greater numbers.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+struct Epoch(u64);
+
+/// What the open calls and watches at the current address of discovery are doing.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum WatchState {
     /// No call and no watch is open.
@@ -59,11 +63,14 @@
 /// A call to discovery, or the watch that it has become.
 struct OpenWatch {
     id: WatchId,
+    epoch: Epoch,
     started_at: Instant,
     /// Whether the call stays open up to [`MAX_LONG_CALL_AGE`].
     is_long_call: bool,
     /// Whether the call had no response in time.
     is_overdue: bool,
+    /// Whether the balancer knows that it needs another call in place of this one.
+    is_failure_reported: bool,
     has_response: bool,
     task: AbortHandle,
 }
@@ -86,6 +93,7 @@
 pub struct OpenWatches {
     watches: Vec<OpenWatch>,
     last_id: u64,
+    epoch: Epoch,
 }
 
 impl OpenWatches {
@@ -97,17 +105,21 @@
         let task = spawn(id);
         self.watches.push(OpenWatch {
             id,
+            epoch: self.epoch,
             started_at: now,
             is_long_call,
             is_overdue: false,
+            is_failure_reported: false,
             has_response: false,
             task,
         });
     }
 
-    /// Returns whether a long call is open that was started less than [`LONG_CALL_INTERVAL`] ago.
+    /// Returns whether a long call at the current address is open that was started less than
+    /// [`LONG_CALL_INTERVAL`] ago.
     fn has_recent_long_call(&self, now: Instant) -> bool {
-        self.watches.iter().any(|watch| watch.is_long_call && now - watch.started_at < LONG_CALL_INTERVAL)
+        let mut long_calls = self.calls().filter(|call| call.is_long_call && call.epoch == self.epoch);
+        long_calls.any(|call| now - call.started_at < LONG_CALL_INTERVAL)
     }
 
     /// Returns whether a call has ever been started.
@@ -115,33 +127,56 @@
         self.last_id > 0
     }
 
-    /// Returns what the open calls and watches are doing.
+    /// Lets later calls belong to a new address of discovery. The calls and watches at earlier addresses stay
+    /// open until discovery responds at a later one: it may be slow, or be moved again before it responds.
+    pub fn start_epoch(&mut self) {
+        self.epoch = Epoch(self.epoch.0 + 1);
+    }
+
+    /// Returns what the open calls and watches at the current address are doing.
     pub fn state(&self) -> WatchState {
-        if self.watches.is_empty() {
-            WatchState::Idle
-        } else if self.watches.iter().any(|watch| watch.has_response) {
-            WatchState::Watching
-        } else {
-            WatchState::Calling
+        let mut state = WatchState::Idle;
+        for watch in self.watches.iter().filter(|watch| watch.epoch == self.epoch) {
+            if watch.has_response {
+                return WatchState::Watching;
+            }
+            state = WatchState::Calling;
         }
+        state
     }
 
-    /// Records that discovery has responded to a call. All other calls are ended, since one watch is enough.
+    /// Records that discovery has responded to a call. All other calls and watches are ended, since one watch
+    /// is enough, except for those at later addresses: nothing that an earlier address sends may override what
+    /// a later one has sent.
     pub fn record_response(&mut self, id: WatchId) {
+        let Some(watch) = self.get_mut(id) else { return };
+        watch.has_response = true;
+        watch.is_failure_reported = false;
+        let epoch = watch.epoch;
+        self.end_where(|watch| watch.id != id && watch.epoch <= epoch);
+    }
+
+    /// Records that the balancer has got an update of the endpoint list. It takes the watch for established
+    /// then, and has to be told of later failures.
+    pub fn record_update(&mut self) {
         for watch in &mut self.watches {
-            if watch.id == id {
-                watch.has_response = true;
-            }
+            watch.is_failure_reported = false;
         }
-        self.end_where(|watch| watch.id != id && !watch.has_response);
     }
 
-    /// Records that a call had no response in time. Returns whether another call is needed.
+    fn get_mut(&mut self, id: WatchId) -> Option<&mut OpenWatch> {
+        self.watches.iter_mut().find(|watch| watch.id == id)
+    }
+
+    /// Records that a call had no response in time. Returns whether another call is needed: not if a later one
+    /// is open.
     pub fn record_overdue(&mut self, id: WatchId) -> bool {
-        if let Some(watch) = self.watches.iter_mut().find(|watch| watch.id == id) {
+        let needs_another_call = self.is_latest(id);
+        if let Some(watch) = self.get_mut(id) {
             watch.is_overdue = true;
+            watch.is_failure_reported = needs_another_call;
         }
-        self.is_latest(id)
+        needs_another_call
     }
 
     /// Returns whether a call had no response in time.
@@ -150,10 +185,10 @@
     }
 
     /// Removes a watch whose task has ended by itself. Returns whether another call is needed: not if a later
-    /// one is open, and not if this one was overdue and never got a response.
+    /// one is open, and not if the balancer knows already.
     pub fn remove(&mut self, id: WatchId) -> bool {
-        let needs_another_call = self.is_latest(id)
-            && self.watches.iter().any(|watch| watch.id == id && (watch.has_response || !watch.is_overdue));
+        let is_known = self.get_mut(id).is_none_or(|watch| watch.is_failure_reported);
+        let needs_another_call = self.is_latest(id) && !is_known;
         self.watches.retain(|watch| watch.id != id);
         needs_another_call
     }
@@ -163,8 +198,8 @@
         self.watches.last().is_some_and(|latest| latest.id == id)
     }
 
-    /// Ends the calls that have been open for too long without a response, and the oldest short ones if there
-    /// are too many for another one.
+    /// Ends the calls that have been open for too long without a response, and others if there are too many for
+    /// another one.
     ///
     /// A call that is answered late cannot be told from one that will never be answered, because discovery
     /// was down when it was made. So calls are repeated soon, but enough of the earlier ones stay open for an
@@ -172,27 +207,29 @@
     pub fn give_up_calls(&mut self, now: Instant) -> CallsGivenUp {
         let mut given_up = self.end_old_calls(now);
         while self.calls().count() >= MAX_OPEN_CALLS {
-            let Some(id) = self.calls().find(|call| !call.is_long_call).map(|call| call.id) else { break };
+            let Some(id) = self.least_useful_call() else { break };
             given_up += self.end_where(|watch| watch.id == id);
         }
         given_up
     }
 
     fn end_old_calls(&mut self, now: Instant) -> CallsGivenUp {
-        let oldest = self.calls().next().map(|call| call.id);
+        let oldest = self.calls().find(|call| call.epoch == self.epoch).map(|call| call.id);
         self.end_where(|watch| !watch.has_response && now - watch.started_at >= watch.max_age(oldest))
     }
 
+    /// Returns the oldest short call. If there is none, returns the oldest call at an earlier address.
+    fn least_useful_call(&self) -> Option<WatchId> {
+        let short_call = self.calls().find(|call| !call.is_long_call);
+        let call = short_call.or_else(|| self.calls().find(|call| call.epoch < self.epoch));
+        call.map(|call| call.id)
+    }
+
     /// Returns the calls without a response, the oldest first.
     fn calls(&self) -> impl Iterator<Item = &OpenWatch> {
         self.watches.iter().filter(|watch| !watch.has_response)
     }
 
-    /// Ends all calls and watches.
-    pub fn end_all(&mut self) {
-        self.end_where(|_| true);
-    }
-
     /// Ends the calls and watches for which `is_ended` holds.
     fn end_where(&mut self, is_ended: impl Fn(&OpenWatch) -> bool) -> CallsGivenUp {
         let mut ended = CallsGivenUp::default();
--- a/crates/proxy/src/discovery/open_watches/tests.rs
+++ b/crates/proxy/src/discovery/open_watches/tests.rs
@@ -53,12 +53,61 @@
     let mut setup = Setup::new();
     setup.call_at(0);
     let task = setup.watches.watches[0].task.clone();
+    let answered = setup.call_at(200);
 
-    setup.watches.end_all();
+    setup.watches.record_response(answered);
     tokio::task::yield_now().await;
 
     assert!(task.is_finished());
+}
+
+/// Guards against a change of the address that ends calls shortly before their answer, and against a late
+/// answer of an earlier address that overrides the list of a later one.
+#[tokio::test(flavor = "local")]
+async fn calls_to_earlier_addresses_stay_open_until_a_later_one_responds() {
+    let mut setup = Setup::new();
+    let first = setup.call_at(0);
+    setup.watches.record_response(first);
+    setup.watches.start_epoch();
     assert_eq!(setup.watches.state(), WatchState::Idle);
+    let second = setup.call_at(100);
+    setup.watches.start_epoch();
+    let third = setup.call_at(200);
+    assert_eq!(setup.watches.state(), WatchState::Calling);
+    assert!(setup.is_open(first) && setup.is_open(second));
+
+    setup.watches.record_response(second);
+    assert!(!setup.is_open(first) && setup.is_open(second) && setup.is_open(third));
+    assert!(!setup.watches.remove(second), "a later call is open");
+
+    setup.watches.record_response(third);
+    assert_eq!(setup.watches.state(), WatchState::Watching);
+}
+
+/// Each change of the address starts a long call.
+#[tokio::test(flavor = "local")]
+async fn the_number_of_calls_is_bounded_although_the_address_changes_often() {
+    let mut setup = Setup::new();
+    for milliseconds in (0..5000).step_by(50) {
+        setup.watches.start_epoch();
+        let latest = setup.call_at(milliseconds);
+        assert!(setup.is_open(latest) && setup.watches.watches.len() <= MAX_OPEN_CALLS);
+    }
+}
+
+/// Guards against a balancer that takes a watch for established that is about to end, and is never told.
+#[tokio::test(flavor = "local")]
+async fn a_call_that_was_overdue_is_reported_again_if_an_update_came_in_the_meantime() {
+    let mut setup = Setup::new();
+    let earlier = setup.call_at(0);
+    setup.watches.record_response(earlier);
+    setup.watches.start_epoch();
+    let latest = setup.call_at(100);
+    assert!(setup.watches.record_overdue(latest));
+    setup.watches.record_update();
+
+    assert!(!setup.watches.remove(earlier));
+    assert!(setup.watches.remove(latest));
 }
 
 /// Guards against calls that are all given up before a slow discovery answers one of them. Whenever discovery
--- a/crates/proxy/src/discovery/watch.rs
+++ b/crates/proxy/src/discovery/watch.rs
@@ -5,7 +5,7 @@
 use crate::discovery::endpoint_list::EndpointUpdate;
 use crate::discovery::error::DiscoveryError;
 use crate::discovery::json_stream::{JsonSplitter, StreamItem};
-use crate::discovery::open_watches::WatchId;
+use crate::discovery::open_watches::{OpenWatches, WatchId};
 use crate::discovery::transfer::{SILENCE_TIMEOUT, Transfer};
 use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout_at};
@@ -91,6 +91,7 @@
             received_message = true;
             if let StreamItem::Object(json) = item {
                 deliver(self.read_received(&json)?);
+                self.update_watches(OpenWatches::record_update);
                 self.advance_first_list_progress(FirstListProgress::Received);
             }
         }
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -134,7 +134,6 @@
     /// delayed the watch.
     pub fn set_discovery_address(self: &Rc<Self>, address: SocketAddr) {
         if self.discovery.set_address(address) {
-            self.discovery.end_watches();
             self.watch_endpoints();
         }
     }
--- a/crates/proxy/src/driver/tests.rs
+++ b/crates/proxy/src/driver/tests.rs
@@ -474,6 +474,33 @@
     }
 }
 
+/// Guards against a change of the address that ends the calls to the previous one shortly before their answer.
+/// With changes every 2 s, a discovery that answers each call after 2.5 s was never heard. A change counts as
+/// delivered 4 s after the address of discovery has changed.
+#[tokio::test(flavor = "local", start_paused = true)]
+async fn the_list_of_a_slow_discovery_arrives_in_time_although_its_address_changes_again() {
+    let answer_time = Duration::from_millis(2500);
+    for mode in ["automatic", "subscribe"] {
+        let (driver, old_discovery) = driver_with_discovery(mode).await;
+        let mut old_watch = accept_watch(&old_discovery).await;
+        old_watch.write_all(LIST_RESPONSE_HEAD).await.unwrap();
+        sleep(STABLE_WATCH_DURATION).await;
+        let changed_at = Instant::now();
+        for version in 2..=3 {
+            let discovery = listen().await;
+            let address = discovery.local_addr().unwrap();
+            answer_late(discovery, version, Instant::now(), answer_time);
+            driver.set_discovery_address(address);
+            sleep(Duration::from_secs(2)).await;
+        }
+
+        assert_eq!(driver.endpoint_list_version(), 2, "{mode}: {:?}", changed_at.elapsed());
+
+        let time = wait_for_version(&driver, 3).await;
+        assert!(time < Duration::from_secs(1), "{mode}: {time:?}");
+    }
+}
+
 /// While calls get no response, further ones are made, and each of them times out separately.
 #[tokio::test(flavor = "local", start_paused = true)]
 async fn calls_to_discovery_that_are_given_up_count_as_failed() {
