Keep a watch open that waits for its first list, and call again beside it

A discovery that responds at once but sends the first list 2.5 s later or more was never heard; callers would see requests to draining upstreams for as long.

Cause: receive_updates ended a watch that had brought nothing for 2.5 s, also before its first byte, and each next watch began the wait anew.

Now a watch that has brought only the head for 2.5 s stays open beside another call and is given up by the same rules as a call without a response. The first watch that brings a byte ends the others. A watch that falls silent after its first byte is ended as before.

--- a/crates/proxy/src/discovery/client.rs
+++ b/crates/proxy/src/discovery/client.rs
@@ -242,9 +242,8 @@
         }
         self.metrics.discovery_calls_failed.inc();
         self.log.warn(|skipped| tracing::warn!(skipped, "no response from discovery yet"));
-        if self.update_watches(|watches| watches.record_overdue(id)) {
-            deliver(EndpointUpdate::failed());
-        }
+        let needs_another_call = self.update_watches(|watches| watches.record_overdue(id));
+        self.report_failure(needs_another_call, deliver);
         call.await
     }
 
@@ -252,6 +251,18 @@
     /// unless the balancer knows already that it needs another watch.
     pub(super) fn remove_watch(&self, id: WatchId, deliver: &mut impl FnMut(EndpointUpdate)) {
         let needs_another_call = self.update_watches(|watches| watches.remove(id));
+        self.report_failure(needs_another_call, deliver);
+    }
+
+    /// Records that a response has brought nothing but its head in time. The watch goes on, but another call
+    /// is needed beside it.
+    pub(super) fn record_silence(&self, id: WatchId, deliver: &mut impl FnMut(EndpointUpdate)) {
+        self.log.warn(|skipped| tracing::warn!(skipped, "no list from discovery since its response"));
+        let needs_another_call = self.update_watches(|watches| watches.record_silence(id));
+        self.report_failure(needs_another_call, deliver);
+    }
+
+    fn report_failure(&self, needs_another_call: bool, deliver: &mut impl FnMut(EndpointUpdate)) {
         if needs_another_call && self.balancer_starts_watches {
             deliver(EndpointUpdate::failed());
         }
--- a/crates/proxy/src/discovery/open_watches.rs
+++ b/crates/proxy/src/discovery/open_watches.rs
@@ -49,7 +49,7 @@
 pub struct CallsGivenUp {
     /// Number of calls given up.
     pub count: u64,
-    /// Number of those that had not been overdue before.
+    /// Number of those that had no response and had not been overdue before.
     pub not_overdue: u64,
 }
 
@@ -60,6 +60,19 @@
     }
 }
 
+/// How far a call has got.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Stage {
+    /// The head of the response has not arrived.
+    Calling,
+    /// The head of the response has arrived, but none of its body.
+    Responded,
+    /// As [`Stage::Responded`], for so long that another call is needed.
+    Silent,
+    /// A part of the body has arrived.
+    Receiving,
+}
+
 /// A call to discovery, or the watch that it has become.
 struct OpenWatch {
     id: WatchId,
@@ -71,11 +84,16 @@
     is_overdue: bool,
     /// Whether the balancer knows that it needs another call in place of this one.
     is_failure_reported: bool,
-    has_response: bool,
+    stage: Stage,
     task: AbortHandle,
 }
 
 impl OpenWatch {
+    /// Returns whether discovery keeps the call waiting.
+    fn is_waiting(&self) -> bool {
+        matches!(self.stage, Stage::Calling | Stage::Silent)
+    }
+
     /// Returns the age at which the call is given up if it has no response. `oldest` is the oldest such call.
     fn max_age(&self, oldest: Option<WatchId>) -> Duration {
         if Some(self.id) == oldest {
@@ -110,7 +128,7 @@
             is_long_call,
             is_overdue: false,
             is_failure_reported: false,
-            has_response: false,
+            stage: Stage::Calling,
             task,
         });
     }
@@ -137,7 +155,7 @@
     pub fn state(&self) -> WatchState {
         let mut state = WatchState::Idle;
         for watch in self.watches.iter().filter(|watch| watch.epoch == self.epoch) {
-            if watch.has_response {
+            if !watch.is_waiting() {
                 return WatchState::Watching;
             }
             state = WatchState::Calling;
@@ -145,12 +163,36 @@
         state
     }
 
-    /// Records that discovery has responded to a call. All other calls and watches are ended, since one watch
-    /// is enough, except for those at later addresses: nothing that an earlier address sends may override what
-    /// a later one has sent.
+    /// Records that the head of the response to a call has arrived. The other calls to the same address are
+    /// ended, since one watch is enough.
     pub fn record_response(&mut self, id: WatchId) {
         let Some(watch) = self.get_mut(id) else { return };
-        watch.has_response = true;
+        watch.stage = Stage::Responded;
+        watch.is_failure_reported = false;
+        let epoch = watch.epoch;
+        self.end_where(|watch| watch.id != id && watch.epoch == epoch && watch.stage == Stage::Calling);
+    }
+
+    /// Records that nothing of the body of a response has arrived in time. Returns whether another call is
+    /// needed: not if a later one is open.
+    pub fn record_silence(&mut self, id: WatchId) -> bool {
+        let needs_another_call = self.is_latest(id);
+        if let Some(watch) = self.get_mut(id) {
+            watch.stage = Stage::Silent;
+            watch.is_failure_reported = needs_another_call;
+        }
+        needs_another_call
+    }
+
+    /// Records that a part of the body of a response has arrived. All other calls and watches are ended,
+    /// except for those at later addresses: nothing that an earlier address sends may override what a later
+    /// one has sent.
+    pub fn record_data(&mut self, id: WatchId) {
+        let Some(watch) = self.get_mut(id) else { return };
+        if watch.stage == Stage::Receiving {
+            return;
+        }
+        watch.stage = Stage::Receiving;
         watch.is_failure_reported = false;
         let epoch = watch.epoch;
         self.end_where(|watch| watch.id != id && watch.epoch <= epoch);
@@ -215,7 +257,7 @@
 
     fn end_old_calls(&mut self, now: Instant) -> CallsGivenUp {
         let oldest = self.calls().find(|call| call.epoch == self.epoch).map(|call| call.id);
-        self.end_where(|watch| !watch.has_response && now - watch.started_at >= watch.max_age(oldest))
+        self.end_where(|watch| watch.is_waiting() && now - watch.started_at >= watch.max_age(oldest))
     }
 
     /// Returns the oldest short call. If there is none, returns the oldest call at an earlier address.
@@ -225,9 +267,9 @@
         call.map(|call| call.id)
     }
 
-    /// Returns the calls without a response, the oldest first.
+    /// Returns the calls that discovery keeps waiting, the oldest first.
     fn calls(&self) -> impl Iterator<Item = &OpenWatch> {
-        self.watches.iter().filter(|watch| !watch.has_response)
+        self.watches.iter().filter(|watch| watch.is_waiting())
     }
 
     /// Ends the calls and watches for which `is_ended` holds.
@@ -239,7 +281,7 @@
             }
             watch.task.abort();
             ended.count += 1;
-            ended.not_overdue += u64::from(!watch.is_overdue);
+            ended.not_overdue += u64::from(watch.stage == Stage::Calling && !watch.is_overdue);
             false
         });
         ended
--- a/crates/proxy/src/discovery/watch.rs
+++ b/crates/proxy/src/discovery/watch.rs
@@ -19,7 +19,7 @@
         match self.call_for_watch(id, &target, &mut deliver).await {
             Ok(response) => {
                 self.update_watches(|watches| watches.record_response(id));
-                let result = self.receive_updates(response, &mut deliver).await;
+                let result = self.receive_updates(id, response, &mut deliver).await;
                 self.record_end(&result);
             }
             Err(error) => {
@@ -45,6 +45,7 @@
 
     async fn receive_updates(
         &self,
+        id: WatchId,
         response: DiscoveryResponse,
         deliver: &mut impl FnMut(EndpointUpdate),
     ) -> Result<(), DiscoveryError> {
@@ -52,14 +53,24 @@
         self.advance_first_list_progress(FirstListProgress::Receiving);
         let mut messages = JsonSplitter::new(MAX_LIST_BYTES);
         let mut last_message_at = Instant::now();
+        let mut has_data = false;
         // Times the list that has arrived only in part; `None` between two messages.
         let mut transfer: Option<Transfer> = None;
         loop {
             let deadline = transfer.map_or(last_message_at + SILENCE_TIMEOUT, |transfer| transfer.deadline());
-            let received =
-                timeout_at(deadline, body.frame()).await.map_err(|_| DiscoveryError::WatchTimeout)?;
+            let received = match timeout_at(deadline, body.frame()).await {
+                Ok(received) => received,
+                Err(_) if has_data => return Err(DiscoveryError::WatchTimeout),
+                // A slow discovery may send its first list late, like the head of its response.
+                Err(_) => {
+                    self.record_silence(id, deliver);
+                    body.frame().await
+                }
+            };
             let Some(frame) = received else { return Ok(()) };
             let Ok(data) = frame?.into_data() else { continue };
+            has_data = true;
+            self.update_watches(|watches| watches.record_data(id));
             self.advance_first_list_progress(FirstListProgress::Receiving);
             messages.push(&data);
             let received_message = self
--- a/crates/proxy/src/driver/tests.rs
+++ b/crates/proxy/src/driver/tests.rs
@@ -501,6 +501,34 @@
     }
 }
 
+/// Guards against a driver that never hears from a discovery that responds at once but sends its first list
+/// after seconds, because it gives up each watch before its list.
+#[tokio::test(flavor = "local", start_paused = true)]
+async fn a_first_list_that_arrives_long_after_the_head_of_the_response_is_used_in_time() {
+    for mode in ["automatic", "subscribe"] {
+        for list_time_ms in [2000, 3000] {
+            let (driver, discovery) = driver_with_discovery(mode).await;
+            spawn_local(async move {
+                loop {
+                    let mut watch = accept_watch(&discovery).await;
+                    spawn_local(async move {
+                        watch.write_all(LIST_RESPONSE_HEAD).await.unwrap();
+                        sleep(Duration::from_millis(list_time_ms)).await;
+                        let list = b"22\r\n{\"rev\":2,\"all\":true,\"targets\":[]}\n\r\n";
+                        // Fails if the driver has given up the watch.
+                        let _ = watch.write_all(list).await;
+                        sleep(LONG_TIMEOUT).await;
+                    });
+                }
+            });
+
+            let time = wait_for_version(&driver, 2).await;
+            let limit = Duration::from_millis(6250);
+            assert!(time < limit, "{mode}, list after {list_time_ms} ms: {time:?}");
+        }
+    }
+}
+
 /// While calls get no response, further ones are made, and each of them times out separately.
 #[tokio::test(flavor = "local", start_paused = true)]
 async fn calls_to_discovery_that_are_given_up_count_as_failed() {
