--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -27,3 +27,4 @@
 pub mod open_watches;
 mod transfer;
 mod watch;
+mod watch_calls;
