--- a/crates/proxy/src/downstream/handler.rs
+++ b/crates/proxy/src/downstream/handler.rs
@@ -100,11 +100,13 @@
         read_deadline: Instant,
     ) -> Result<ClientResponse, RequestError> {
         let request = self.read_request(client, socket, request, read_deadline).await;
-        if matches!(request, Ok(_) | Err(RequestError::OutOfMemory)) {
-            client.on_request_received();
-        }
-        if matches!(request, Err(RequestError::OutOfMemory)) {
-            self.driver.metrics().requests_out_of_memory.inc();
+        match &request {
+            Ok(_) => client.on_request_received(),
+            Err(RequestError::OutOfMemory) => {
+                client.on_request_received();
+                self.driver.metrics().requests_out_of_memory.inc();
+            }
+            Err(_) => {}
         }
         let request = request?;
         socket.read_ahead_before_submission().await;
--- a/crates/proxy/src/downstream/read_ahead.rs
+++ b/crates/proxy/src/downstream/read_ahead.rs
@@ -77,10 +77,7 @@
             return true;
         }
         let Ok(added) = budget.try_reserve(needed - reserved) else { return false };
-        match &mut self.reservation {
-            Some(reservation) => reservation.merge(added),
-            None => self.reservation = Some(added),
-        }
+        added.add_to(&mut self.reservation);
         true
     }
 }
--- a/crates/proxy/src/memory_budget.rs
+++ b/crates/proxy/src/memory_budget.rs
@@ -109,15 +109,18 @@
 }
 
 fn try_acquire(semaphore: &Arc<Semaphore>, bytes: usize) -> Result<OwnedSemaphorePermit, BudgetExhausted> {
-    let exhausted = BudgetExhausted { bytes };
-    let permits = u32::try_from(bytes).map_err(|_| exhausted)?;
-    Arc::clone(semaphore).try_acquire_many_owned(permits).map_err(|_| exhausted)
+    let permits = permits_for(bytes)?;
+    Arc::clone(semaphore).try_acquire_many_owned(permits).map_err(|_| BudgetExhausted { bytes })
 }
 
 async fn acquire(semaphore: &Arc<Semaphore>, bytes: usize) -> Result<OwnedSemaphorePermit, BudgetExhausted> {
-    let exhausted = BudgetExhausted { bytes };
-    let permits = u32::try_from(bytes).map_err(|_| exhausted)?;
-    Arc::clone(semaphore).acquire_many_owned(permits).await.map_err(|_| exhausted)
+    let permits = permits_for(bytes)?;
+    Arc::clone(semaphore).acquire_many_owned(permits).await.map_err(|_| BudgetExhausted { bytes })
+}
+
+/// Returns the number of permits for `bytes`. Fails if they are more than the largest budget.
+fn permits_for(bytes: usize) -> Result<u32, BudgetExhausted> {
+    u32::try_from(bytes).map_err(|_| BudgetExhausted { bytes })
 }
 
 /// A limit on the total size of all reservations, apart from memory that is borrowed from connections.
@@ -251,7 +254,7 @@
     }
 
     /// Adds the bytes of another reservation in the same budget.
-    pub fn merge(&mut self, other: Self) {
+    fn merge(&mut self, other: Self) {
         self.own.merge(other.own);
         match (&mut self.borrowed, other.borrowed) {
             (Some(borrowed), Some(added)) => borrowed.merge(added),
@@ -260,6 +263,14 @@
         }
     }
 
+    /// Adds the reservation to `total`, which is in the same budget.
+    pub fn add_to(self, total: &mut Option<Self>) {
+        match total {
+            Some(total) => total.merge(self),
+            None => *total = Some(self),
+        }
+    }
+
     /// Reduces the reservation to `bytes` if it is larger, and releases the difference. Borrowed bytes are
     /// returned first.
     pub fn shrink_to(&mut self, bytes: usize) {
--- a/crates/proxy/src/reserved_buffer.rs
+++ b/crates/proxy/src/reserved_buffer.rs
@@ -172,11 +172,7 @@
         let max_wait = RESERVATION_TIMEOUT.saturating_sub(self.waited);
         let result = self.budget.reserve_within(total - reserved, max_wait).await;
         self.waited += started_at.elapsed();
-        let added = result?;
-        match &mut self.reservation {
-            Some(reservation) => reservation.merge(added),
-            None => self.reservation = Some(added),
-        }
+        result?.add_to(&mut self.reservation);
         Ok(())
     }
 }
