Count the wait after a failed discovery call from the start of that call

Where lists are asked for, callers could see requests to a draining upstream later than 6 s after discovery can be reached again, if discovery then takes seconds for each call.

Cause: a call made just before the end of an outage may never be answered. It was reported as failed after 1 s, and the next followed up to 3 s after that.

Now the wait counts from the start of the failed call, and at least the minimum wait from its failure. Calls are at most 3.0 s apart, whether they fail at once or are not answered; calls that fail at once are as far apart as before, at most 30 a minute.

--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -31,6 +31,11 @@
         Self(self.0.min(other.0))
     }
 
+    /// Returns the later of two points in time.
+    pub(crate) fn max(self, other: Self) -> Self {
+        Self(self.0.max(other.0))
+    }
+
     /// Compares two points in time by a total order, which sorting requires.
     pub(crate) fn total_cmp(&self, other: &Self) -> Ordering {
         self.0.total_cmp(&other.0)
--- a/crates/core/src/watch_schedule.rs
+++ b/crates/core/src/watch_schedule.rs
@@ -3,9 +3,9 @@
 //!
 //! The balancer starts a watch when it starts and again after each failure. The wait doubles after each
 //! failed call and is jittered, so that many balancers do not call at the same moment when discovery
-//! recovers. The wait is limited, so that a call that fails late, the wait after it and the next call
-//! together end before a change counts as delivered to the balancer; see
-//! [`Settings::poll_interval`](crate::Settings::poll_interval).
+//! recovers. The wait is limited and counts from the start of the failed call, so that a call that fails late
+//! and the next call, which may be answered late, together end before a change counts as delivered to the
+//! balancer; see [`Settings::poll_interval`](crate::Settings::poll_interval).
 
 use crate::random::Random;
 use crate::time::Timestamp;
@@ -15,9 +15,9 @@
 const MAX_FIRST_WAIT_SECONDS: f64 = 1.0;
 /// Maximum wait before the first call, as a share of the poll interval.
 const MAX_FIRST_WAIT_SHARE: f64 = 0.1;
-/// Maximum wait after a failed call.
+/// Maximum wait from the start of a failed call to the next one.
 const MAX_RETRY_WAIT_SECONDS: f64 = 3.0;
-/// Maximum wait after a failed call, as a share of the poll interval.
+/// Maximum wait from the start of a failed call to the next one, as a share of the poll interval.
 const MAX_RETRY_WAIT_SHARE: f64 = 0.8;
 /// Maximum number of times that the wait after failed calls doubles.
 const MAX_DOUBLINGS: u32 = 4;
@@ -30,6 +30,7 @@
 #[derive(Default)]
 pub(crate) struct WatchSchedule {
     watch_is_established: bool,
+    last_call_at: Timestamp,
     next_call_at: Timestamp,
     consecutive_failures: u32,
 }
@@ -48,9 +49,11 @@
             (poll_interval.as_secs_f64() * MAX_RETRY_WAIT_SHARE).min(MAX_RETRY_WAIT_SECONDS);
         let min_wait_seconds = max_wait_seconds / f64::from(1u32 << MAX_DOUBLINGS);
         let wait_seconds = min_wait_seconds * f64::from(1u32 << self.consecutive_failures.min(MAX_DOUBLINGS));
+        let jitter = 0.5 + 0.5 * random.fraction();
         self.consecutive_failures += 1;
         self.watch_is_established = false;
-        self.next_call_at = now + wait_seconds * (0.5 + 0.5 * random.fraction());
+        let min_next_call_at = now + min_wait_seconds * jitter;
+        self.next_call_at = min_next_call_at.max(self.last_call_at + wait_seconds * jitter);
     }
 
     /// Records that discovery responded, so that the watch is established.
@@ -69,6 +72,7 @@
         if self.watch_is_established || now < self.next_call_at {
             return false;
         }
+        self.last_call_at = now;
         let timeout_share = RESPONSE_TIMEOUT_SHARE + RESPONSE_TIMEOUT_JITTER * random.fraction();
         self.next_call_at = now + poll_interval.as_secs_f64() * timeout_share;
         true
--- a/crates/core/tests/endpoint_updates.rs
+++ b/crates/core/tests/endpoint_updates.rs
@@ -91,3 +91,32 @@
         }
     }
 }
+
+/// A call without a response is reported as failed after 1 s and may have been made in vain, while discovery
+/// was down. The next call may be answered after 3 s. Guards against calls so far apart that the list then
+/// arrives later than 6 s after discovery can be reached, and against more calls than its load allows.
+#[test]
+fn calls_without_a_response_are_close_enough_for_a_slow_discovery() {
+    const CALLS: usize = 60;
+    let settings = settings().starts_watches(true).poll_interval(ms(60_000)).build();
+    let mut harness = BalancerHarness::new(settings, &endpoints(2));
+    let mut call_times = Vec::new();
+
+    for call in 0..CALLS {
+        while harness.discovery_calls.len() == call {
+            harness.advance(ms(10));
+        }
+        call_times.push(harness.now);
+        harness.advance(ms(1_000));
+        harness.update_endpoints(UpdateScope::Failed, &[]);
+    }
+
+    for (call, pair) in call_times.windows(2).enumerate() {
+        let gap = pair[1] - pair[0];
+        assert!(gap < ms(3_200), "call {call} is followed by the next one after {gap:?}");
+    }
+    for (call, later) in call_times.windows(31).enumerate() {
+        let time = later[30] - later[0];
+        assert!(time > ms(60_000), "30 calls within {time:?} from call {call} on");
+    }
+}
